--- /dev/null
+++ b/crates/tanagershift/src/event.rs
@@ -0,0 +1,89 @@
+//! Numbered log events; `docs/EVENTS.md` is their catalogue.
+
+use log::Level;
+
+/// One kind of event that an operator may look up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number in the catalogue, never given to another event.
+    pub code: u16,
+    /// Severity in the log.
+    pub level: Level,
+}
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident;)*) => {
+        $($(#[$doc])* pub const $name: Event = Event { code: $code, level: Level::$level };)*
+
+        /// Every event, in order of its number.
+        pub const ALL: &[(&str, Event)] = &[$((stringify!($name), $name)),*];
+    };
+}
+
+events! {
+    /// The daemon started.
+    STARTED = 101, Info;
+    /// The daemon was asked to shut down.
+    DRAINING = 102, Info;
+    /// The daemon ended after finishing its requests.
+    STOPPED = 103, Info;
+    /// A drain ended at its limit with requests still open.
+    DRAIN_TIMEOUT = 104, Warn;
+    /// A listener could not accept a connection.
+    ACCEPT_FAILED = 105, Warn;
+    /// This voter became the leader.
+    LEADER = 201, Info;
+    /// This voter stopped being the leader.
+    LEADER_LOST = 202, Warn;
+    /// A record at the end of the log was incomplete and was cut off.
+    TAIL_CUT = 203, Warn;
+    /// A snapshot was written and the log shortened.
+    SNAPSHOT = 204, Info;
+    /// The state of a leader replaced this voter's own.
+    SNAPSHOT_INSTALLED = 205, Info;
+    /// The voter's storage failed and the voter stops.
+    STORAGE_FAILED = 206, Error;
+    /// The membership of the group changed.
+    MEMBERS = 207, Info;
+    /// The data folder was assigned to a group.
+    FORMATTED = 208, Info;
+    /// A change set was accepted.
+    ACCEPTED = 301, Info;
+    /// A change set was refused.
+    REFUSED = 302, Warn;
+    /// A revision came into force on this host.
+    IN_FORCE = 303, Info;
+    /// A replica was assigned to a holder.
+    ASSIGNED = 401, Info;
+    /// This host's lease on a replica began.
+    LEASE_BEGUN = 402, Info;
+    /// This host's lease on a replica ended.
+    LEASE_ENDED = 403, Warn;
+    /// An engine could not load an adapter.
+    LOAD_FAILED = 404, Warn;
+    /// An engine answered under another model name or request id.
+    MISMATCH = 405, Error;
+    /// An engine refused an order for its fencing number.
+    FENCED = 406, Warn;
+    /// An engine lost its adapters; it restarted.
+    ENGINE_RESTARTED = 407, Warn;
+    /// The platform's list could not be read.
+    LIST_FAILED = 501, Warn;
+    /// An upstream is leaving.
+    UPSTREAM_LEAVING = 502, Info;
+    /// A connection between hosts was refused.
+    PEER_REFUSED = 601, Warn;
+    /// A connection between hosts ended by an invalid frame.
+    FRAME_INVALID = 602, Warn;
+    /// A frame for an ended stream was dropped.
+    FRAME_DROPPED = 603, Debug;
+}
+
+/// Writes an event with its number to the log.
+#[macro_export]
+macro_rules! emit {
+    ($event:ident, $($text:tt)+) => {{
+        let event = $crate::event::$event;
+        log::log!(event.level, "TS{:04} {}", event.code, format_args!($($text)+))
+    }};
+}
--- /dev/null
+++ b/crates/tanagershift/src/follower.rs
@@ -0,0 +1,236 @@
+//! How a host finds the leader, follows the configuration, and renews its leases.
+
+use std::{sync::Arc, time::Duration};
+
+use snafu::Snafu;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    emit,
+    host::Host,
+    id,
+    link::{self, Call, Pool},
+    wire::{Body, Follow, Heartbeat, Lease, Update},
+};
+
+/// Pause after every known voter was asked in vain.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for one voter's answer in a search.
+const ATTEMPT: Duration = Duration::from_millis(700);
+/// Time for which a revision may be accepted and not here before the host looks elsewhere.
+const LAG_LIMIT: Duration = Duration::from_millis(500);
+
+/// Why the leader did not answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
+pub enum Error {
+    /// No leader answered in time.
+    #[snafu(display("no leader answered in time"))]
+    NoLeader,
+}
+
+/// Finds the leader among the voters, and asks it.
+#[derive(Clone, Debug)]
+pub struct Leader {
+    pool: Pool,
+    voters: Arc<Vec<String>>,
+    current: watch::Sender<Option<String>>,
+}
+
+impl Leader {
+    /// Makes a client of the group.
+    pub fn new(pool: Pool, voters: Vec<String>) -> Self {
+        Self {
+            pool,
+            voters: Arc::new(voters),
+            current: watch::Sender::new(None),
+        }
+    }
+
+    /// Address of the leader as last known.
+    pub fn current(&self) -> watch::Receiver<Option<String>> {
+        self.current.subscribe()
+    }
+
+    /// Asks the leader until it answers; what is asked must be idempotent.
+    ///
+    /// # Errors
+    ///
+    /// No leader answered in time; it may have got the question all the same.
+    pub async fn ask(&self, body: Body, limit: Duration, attempt: Duration) -> Result<Body, Error> {
+        let search = async {
+            loop {
+                for address in self.candidates() {
+                    if let Some(answer) = self.ask_from(address, &body, attempt).await {
+                        return answer;
+                    }
+                }
+                sleep(SEARCH_PAUSE).await;
+            }
+        };
+        timeout(limit, search).await.map_err(|_| Error::NoLeader)
+    }
+
+    /// The leader as last known, then every voter.
+    fn candidates(&self) -> Vec<String> {
+        let mut candidates: Vec<String> = self.current.borrow().iter().cloned().collect();
+        for voter in self.voters.iter() {
+            if !candidates.contains(voter) {
+                candidates.push(voter.clone());
+            }
+        }
+        candidates
+    }
+
+    /// Asks one voter, and the leader that it names.
+    async fn ask_from(&self, mut address: String, body: &Body, limit: Duration) -> Option<Body> {
+        for _ in 0..2 {
+            let call = async {
+                let call = self.pool.call(&address, body.clone()).await?;
+                call.answer().await
+            };
+            match timeout(limit, call).await {
+                Ok(Ok(Body::Redirect(redirect))) if !redirect.address.is_empty() => {
+                    address = redirect.address;
+                }
+                Ok(Ok(Body::Redirect(_)) | Err(_)) | Err(_) => return None,
+                Ok(Ok(answer)) => {
+                    self.note(address);
+                    return Some(answer);
+                }
+            }
+        }
+        None
+    }
+
+    fn note(&self, address: String) {
+        self.current.send_if_modified(|current| {
+            let changed = current.as_ref() != Some(&address);
+            *current = Some(address);
+            changed
+        });
+    }
+
+    /// Sends the leader as last known a message that has no answer.
+    pub async fn tell(&self, body: Body) {
+        let Some(address) = self.current.borrow().clone() else {
+            return;
+        };
+        if let Ok(link) = self.pool.link(&address).await {
+            // What is told this way ends by itself when it is lost.
+            let _ = link.tell(body);
+        }
+    }
+
+    /// Starts to follow the leader from a revision.
+    async fn follow(&self, host: &str, revision: id::Revision) -> Option<Call> {
+        let address = self.current.borrow().clone()?;
+        let follow = Follow {
+            host: host.to_owned(),
+            revision,
+        };
+        self.pool.call(&address, Body::Follow(follow)).await.ok()
+    }
+}
+
+/// Renews the host's leases and reports on it, until the process ends.
+pub async fn beat(host: Arc<Host>) {
+    let lease = host.settings.group.lease.lease;
+    let interval = lease / 5;
+    loop {
+        let sent = Instant::now();
+        let heartbeat = Body::Heartbeat(heartbeat(&host));
+        let answer = host
+            .leader
+            .ask(heartbeat, lease, ATTEMPT.min(lease / 2))
+            .await;
+        if let Ok(Body::Lease(lease)) = answer {
+            take_lease(&host, &lease, sent);
+        }
+        sleep(interval.saturating_sub(sent.elapsed())).await;
+    }
+}
+
+fn heartbeat(host: &Host) -> Heartbeat {
+    Heartbeat {
+        host: host.settings.host.name.clone(),
+        zone: host.settings.host.zone.clone(),
+        address: host.settings.host.peer.to_string(),
+        session: host.session,
+        revision: host.revision(),
+        draining: host.is_draining(),
+        holds: host.settings.holder.enabled,
+        returned: host.holder.returned(),
+    }
+}
+
+fn take_lease(host: &Host, lease: &Lease, sent: Instant) {
+    if lease.millis == 0 {
+        return;
+    }
+    let drift = host.settings.group.lease.drift_percent;
+    let length = Duration::from_millis(lease.millis) * (100 - drift) / 100;
+    host.note_accepted(lease.revision, sent);
+    let share = host.settings.store.share();
+    host.holder.set_holders(lease.holders, share);
+    let list = host.list.borrow().clone();
+    host.holder.renew(&lease.grants, sent + length, &list);
+}
+
+/// Follows the configuration and the routes, until the process ends.
+pub async fn follow(host: Arc<Host>) {
+    let name = host.settings.host.name.clone();
+    let mut current = host.leader.current();
+    loop {
+        current.mark_unchanged();
+        let call = host.leader.follow(&name, host.revision()).await;
+        if let Some(mut call) = call {
+            tokio::select! {
+                () = take_updates(&host, &mut call) => {}
+                // Another leader answered a heartbeat.
+                _ = current.changed() => {}
+                () = lag(&host) => {}
+            }
+        }
+        sleep(SEARCH_PAUSE).await;
+    }
+}
+
+async fn take_updates(host: &Host, call: &mut Call) {
+    loop {
+        match call.next().await {
+            Ok(Some(Body::Update(update))) => take_update(host, update),
+            Ok(_) | Err(link::Error::Connect { .. } | link::Error::Lost | link::Error::Slow) => {
+                return;
+            }
+        }
+    }
+}
+
+fn take_update(host: &Host, update: Update) {
+    let before = host.revision();
+    host.apply(update);
+    let after = host.revision();
+    if after > before {
+        emit!(IN_FORCE, "revision {after}");
+    }
+}
+
+/// Ends when a revision has been accepted for a while and has not come here.
+async fn lag(host: &Host) {
+    let mut lagging_since: Option<Instant> = None;
+    loop {
+        sleep(LAG_LIMIT / 4).await;
+        if host.accepted() <= host.revision() {
+            lagging_since = None;
+            continue;
+        }
+        let since = *lagging_since.get_or_insert_with(Instant::now);
+        if since.elapsed() > LAG_LIMIT {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanagershift/src/id.rs
@@ -0,0 +1,20 @@
+//! Names for the identifiers that pass between the duties.
+
+/// Name of a host of the system, unique and set by its settings.
+pub type Host = String;
+/// Name of an availability zone.
+pub type Zone = String;
+/// Name of an upstream as the platform lists it.
+pub type Upstream = String;
+/// Identity of one voter's data folder, minted when the folder is first used.
+pub type Member = u64;
+/// Number of an accepted configuration; grows by one with each accepted change set.
+pub type Revision = u64;
+/// Fencing number of a lease on a replica; never used twice.
+pub type Epoch = u64;
+/// Term of a leader of the replicated log.
+pub type Term = u64;
+/// Position in the replicated log, from one.
+pub type Index = u64;
+/// Number of a stream within one connection; never used twice within it.
+pub type Stream = u64;
--- /dev/null
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -0,0 +1,841 @@
+//! Input and output of a voter: disk, peers, and the hosts that follow.
+
+use std::{
+    collections::BTreeMap,
+    fs::File,
+    path::PathBuf,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use prost::Message;
+use snafu::Snafu;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, sleep_until},
+};
+
+use super::{
+    lease::{self, Leases},
+    permit::{self, Permits},
+    report,
+    state::{Assign, Assignment, Command, Effect, MemberChange, Order, Outcome, State},
+};
+use crate::{
+    catalog::Item,
+    emit, id,
+    link::{Pool, Responder},
+    platform::List,
+    quorum::{
+        self, Node, Ready, Refusal,
+        disk::{self, Disk, Identity},
+        message::{Envelope, Member, Members, Snapshot},
+    },
+    wire::{Body, Failure, Follow, Format, Permitted, Redirect, Route, Routes, Update},
+};
+
+/// Inputs that wait for the voter.
+const QUEUE: usize = 8192;
+/// Inputs that are handled with one sync.
+const BATCH: usize = 512;
+/// Messages that wait for one peer.
+const PEER_QUEUE: usize = 1024;
+/// Items in one update of the configuration.
+const UPDATE_ITEMS: usize = 5000;
+/// Updates that wait for one host that follows.
+const FOLLOWER_QUEUE: usize = 256;
+/// Time between two decisions on assignments.
+const ASSIGN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a voter is made of.
+#[derive(Debug)]
+pub struct Config {
+    /// Host that it runs on.
+    pub host: id::Host,
+    /// Peer address of the host.
+    pub address: String,
+    /// Data folder.
+    pub data: PathBuf,
+    /// Times of the group.
+    pub times: quorum::Config,
+    /// Times of the leases on replicas.
+    pub lease: lease::Config,
+    /// Budget of the weight store.
+    pub store: permit::Config,
+    /// Entries after which a snapshot is written.
+    pub snapshot_every: u64,
+    /// Seed of the election times and the identity.
+    pub seed: u64,
+}
+
+/// Why a voter ended.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum Error {
+    /// Its files failed.
+    #[snafu(display("{source}"), context(false))]
+    Disk {
+        /// The failure.
+        source: disk::Error,
+    },
+    /// Its state cannot be read.
+    #[snafu(display("the snapshot does not decode: {source}"), context(false))]
+    State {
+        /// The decoder's error.
+        source: prost::DecodeError,
+    },
+}
+
+/// Something that happens to a voter.
+#[derive(Debug)]
+enum Input {
+    /// A message of a peer or a host.
+    Frame(Box<Body>, Responder),
+    /// Give the leadership away; answered when done.
+    HandOver(oneshot::Sender<()>),
+}
+
+/// How the rest of the process reaches its voter.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Handle {
+    /// Hands a message to the voter; one that finds no room is as good as lost.
+    pub fn take(&self, body: Body, responder: Responder) {
+        // A responder that is dropped tells its opener to ask again.
+        let _ = self
+            .inputs
+            .try_send(Input::Frame(Box::new(body), responder));
+    }
+
+    /// Gives the leadership away if this voter has it.
+    pub async fn hand_over(&self) {
+        let (done, wait) = oneshot::channel();
+        if self.inputs.send(Input::HandOver(done)).await.is_ok() {
+            // A voter that stopped has no leadership left.
+            let _ = wait.await;
+        }
+    }
+}
+
+fn failure(reason: impl Into<String>) -> Body {
+    Body::Error(Failure {
+        reason: reason.into(),
+    })
+}
+
+/// A host that follows the log.
+#[derive(Debug)]
+struct Follower {
+    queue: mpsc::Sender<Update>,
+}
+
+/// What a leader keeps for itself.
+#[derive(Debug)]
+struct Leading {
+    leases: Leases,
+    permits: Permits<Responder>,
+    followers: Vec<Follower>,
+    routes: Routes,
+    assign_at: Instant,
+    /// Whether an assignment is in the log and not yet applied.
+    assigning: bool,
+}
+
+/// A voter whose folder belongs to a group.
+struct Voter {
+    config: Config,
+    node: Node,
+    disk: Disk,
+    state: State,
+    applied: id::Index,
+    waiting: BTreeMap<id::Index, (id::Term, Option<Responder>)>,
+    peers: BTreeMap<id::Member, (String, mpsc::Sender<Body>)>,
+    /// Where each member's last message came from.
+    addresses: BTreeMap<id::Member, String>,
+    pool: Pool,
+    list: watch::Receiver<List>,
+    leading: Option<Leading>,
+    snapshotted: id::Index,
+}
+
+/// Starts a voter; the future ends when its files fail.
+///
+/// # Errors
+///
+/// The data folder cannot be used.
+pub fn start(
+    config: Config,
+    pool: Pool,
+    list: watch::Receiver<List>,
+) -> Result<(Handle, impl Future<Output = Error>), Error> {
+    let seed = config.seed;
+    let (lock, identity) = Disk::identify(&config.data, || seed.max(1))?;
+    let (inputs, queue) = mpsc::channel(QUEUE);
+    let run = async move {
+        match run(config, lock, identity, pool, list, queue).await {
+            Ok(never) => match never {},
+            Err(error) => {
+                emit!(STORAGE_FAILED, "{error}");
+                error
+            }
+        }
+    };
+    Ok((Handle { inputs }, run))
+}
+
+enum Never {}
+
+async fn run(
+    config: Config,
+    lock: File,
+    identity: Identity,
+    pool: Pool,
+    list: watch::Receiver<List>,
+    mut queue: mpsc::Receiver<Input>,
+) -> Result<Never, Error> {
+    let identity = if identity.group == 0 {
+        wait_for_group(&config, identity, &mut queue).await?
+    } else {
+        identity
+    };
+    let mut voter = Voter::open(config, lock, identity, pool, list)?;
+    loop {
+        voter.turn(&mut queue).await?;
+    }
+}
+
+/// Answers for a folder that belongs to no group, until it is given to one.
+async fn wait_for_group(
+    config: &Config,
+    identity: Identity,
+    queue: &mut mpsc::Receiver<Input>,
+) -> Result<Identity, Error> {
+    loop {
+        match queue.recv().await {
+            Some(Input::Frame(body, responder)) => {
+                if let Some(joined) = take_before_group(config, identity, *body, responder)? {
+                    return Ok(joined);
+                }
+            }
+            Some(Input::HandOver(done)) => {
+                let _ = done.send(());
+            }
+            // The process is ending; nothing comes any more.
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// Answers one message; returns the identity once the folder belongs to a group.
+fn take_before_group(
+    config: &Config,
+    identity: Identity,
+    body: Body,
+    responder: Responder,
+) -> Result<Option<Identity>, Error> {
+    match body {
+        Body::Query(query) if query.kind == "identity" => {
+            responder.finish_now(Body::Report(identity_report(&config.host, identity)));
+        }
+        Body::Format(format) if format.member == identity.member && format.group > 0 => {
+            let joined = join(config, identity, format)?;
+            responder.finish_now(Body::Report(identity_report(&config.host, joined)));
+            return Ok(Some(joined));
+        }
+        Body::Format(_) => responder.finish_now(failure("the group names another identity")),
+        Body::Quorum(envelope) if envelope.to == identity.member => {
+            // A leader has added this identity; its log comes with its snapshot.
+            let format = Format {
+                group: envelope.group,
+                member: identity.member,
+                members: Vec::new(),
+            };
+            return join(config, identity, format).map(Some);
+        }
+        // A responder that is dropped tells its opener to ask elsewhere.
+        _ => {}
+    }
+    Ok(None)
+}
+
+fn identity_report(host: &str, identity: Identity) -> Bytes {
+    let report = serde_json::json!({
+        "host": host,
+        "member": format!("{:016x}", identity.member),
+        "group": format!("{:016x}", identity.group),
+    });
+    report.to_string().into()
+}
+
+fn join(config: &Config, identity: Identity, format: Format) -> Result<Identity, Error> {
+    let identity = Identity {
+        group: format.group,
+        ..identity
+    };
+    let snapshot = Snapshot {
+        index: 0,
+        term: 0,
+        members: Members {
+            members: format.members,
+        },
+        data: State::default().encode(),
+    };
+    Disk::format(&config.data, identity, &snapshot)?;
+    emit!(
+        FORMATTED,
+        "member {:016x}, group {:016x}",
+        identity.member,
+        identity.group
+    );
+    Ok(identity)
+}
+
+impl Voter {
+    fn open(
+        config: Config,
+        lock: File,
+        identity: Identity,
+        pool: Pool,
+        list: watch::Receiver<List>,
+    ) -> Result<Self, Error> {
+        let (disk, recovered) = Disk::open(&config.data, lock)?;
+        let snapshot = recovered.log.snapshot();
+        let state = State::decode(snapshot.data.clone())?;
+        let applied = snapshot.index;
+        let node = Node::new(
+            identity.member,
+            identity.group,
+            config.times.clone(),
+            recovered.ballot,
+            recovered.log,
+            config.seed,
+            Instant::now(),
+        );
+        Ok(Self {
+            node,
+            disk,
+            state,
+            applied,
+            waiting: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            pool,
+            list,
+            leading: None,
+            snapshotted: applied,
+            config,
+        })
+    }
+
+    /// Waits for something to happen, and handles all that has.
+    async fn turn(&mut self, queue: &mut mpsc::Receiver<Input>) -> Result<(), Error> {
+        let wake = self.next_wake();
+        tokio::select! {
+            input = queue.recv() => match input {
+                Some(input) => {
+                    self.take(input);
+                    for _ in 0..BATCH {
+                        let Ok(input) = queue.try_recv() else {
+                            break;
+                        };
+                        self.take(input);
+                    }
+                }
+                None => std::future::pending().await,
+            },
+            () = sleep_until(wake) => {}
+        }
+        let now = Instant::now();
+        self.node.tick(now);
+        self.lead(now);
+        self.settle()
+    }
+
+    fn next_wake(&self) -> Instant {
+        let mut wake = self.node.next_tick();
+        if let Some(leading) = &self.leading {
+            wake = wake.min(leading.assign_at);
+            wake = leading.permits.next().map_or(wake, |next| wake.min(next));
+        }
+        wake
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = Instant::now();
+        match input {
+            Input::Frame(body, responder) => match *body {
+                Body::Quorum(envelope) => {
+                    let address = envelope.address.clone();
+                    self.addresses.insert(envelope.from, address);
+                    self.node.receive(envelope, now);
+                }
+                body => self.take_frame(body, responder, now),
+            },
+            Input::HandOver(done) => {
+                if self.node.hand_over(now) {
+                    self.stop_leading();
+                }
+                let _ = done.send(());
+            }
+        }
+    }
+
+    fn take_frame(&mut self, body: Body, responder: Responder, now: Instant) {
+        if let Body::Query(query) = &body
+            && query.kind == "identity"
+        {
+            let identity = Identity {
+                member: self.node.id(),
+                group: self.node.group(),
+            };
+            responder.finish_now(Body::Report(identity_report(&self.config.host, identity)));
+            return;
+        }
+        // Whoever is answered here is answered by the only leader that can be.
+        if self.leading.is_none() || !self.node.holds_lease(now) {
+            let leader = self
+                .node
+                .leader()
+                .filter(|member| member.id != self.node.id());
+            let address = leader.map_or(String::new(), |member| member.address.clone());
+            responder.finish_now(Body::Redirect(Redirect { address }));
+            return;
+        }
+        match body {
+            Body::Propose(command) => self.propose(command, responder),
+            Body::Follow(follow) => self.follow(follow, responder),
+            Body::Heartbeat(beat) => {
+                let Some(leading) = &mut self.leading else {
+                    return;
+                };
+                let lease = leading.leases.beat(beat, &self.state, now);
+                responder.finish_now(Body::Lease(lease));
+            }
+            Body::Permit(permit) => {
+                if let Some(leading) = &mut self.leading {
+                    let waited = Duration::from_millis(permit.waited);
+                    leading.permits.ask(waited, permit.waiting, responder, now);
+                }
+            }
+            Body::Release(number) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.permits.release(number);
+                }
+            }
+            Body::Query(query) => {
+                let Some(leading) = &self.leading else {
+                    return;
+                };
+                let view = report::View {
+                    node: &self.node,
+                    state: &self.state,
+                    leases: &leading.leases,
+                    upstreams: &self.list.borrow(),
+                    permits: (leading.permits.open(), leading.permits.waiting()),
+                    now,
+                };
+                let answer = report::answer(&view, &query);
+                responder.finish_now(answer.map_or(failure("unknown question"), Body::Report));
+            }
+            Body::Format(_) => responder.finish_now(failure("the folder belongs to a group")),
+            _ => responder.finish_now(failure("not for a voter")),
+        }
+    }
+
+    fn propose(&mut self, mut command: Command, responder: Responder) {
+        command.at = wall_clock_millis().max(self.state.at());
+        if let Some(outcome) = self.state.peek(&command) {
+            responder.finish_now(Body::Outcome(outcome));
+            return;
+        }
+        if let Some(Order::Member(change)) = &command.order {
+            let change = change.clone();
+            if let Err(refusal) = self.change_member(&change) {
+                responder.finish_now(failure(describe(&refusal)));
+                return;
+            }
+        }
+        match self.node.propose(command.encode_to_vec().into()) {
+            Ok((index, term)) => {
+                self.waiting.insert(index, (term, Some(responder)));
+            }
+            Err(refusal) => responder.finish_now(failure(describe(&refusal))),
+        }
+    }
+
+    fn change_member(&mut self, change: &MemberChange) -> Result<(), Refusal> {
+        if change.remove {
+            self.node.remove_member(change.id)?;
+        } else {
+            self.node.add_member(Member {
+                id: change.id,
+                host: change.host.clone(),
+                address: change.address.clone(),
+                voter: false,
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Starts a follower with what it lacks.
+    fn follow(&mut self, follow: Follow, responder: Responder) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let mut updates = catch_up(&self.state, follow.revision);
+        if let Some(last) = updates.last_mut() {
+            last.routes = Some(leading.routes.clone());
+        }
+        let (queue, receiver) = mpsc::channel(FOLLOWER_QUEUE);
+        tokio::spawn(feed(updates, receiver, responder));
+        leading.followers.push(Follower { queue });
+    }
+
+    /// Makes a leader's own decisions: assignments and permits.
+    fn lead(&mut self, now: Instant) {
+        if !self.node.holds_lease(now) {
+            if self.leading.is_some() && !self.node.leads() {
+                self.stop_leading();
+            }
+            return;
+        }
+        let upstreams = self.list.borrow().clone();
+        let leading = self.leading.get_or_insert_with(|| {
+            emit!(
+                LEADER,
+                "member {:016x}, term {}",
+                self.node.id(),
+                self.node.term()
+            );
+            Leading {
+                leases: Leases::new(self.config.lease.clone(), now),
+                permits: Permits::new(self.config.store.clone(), self.node.term() << 32, now),
+                followers: Vec::new(),
+                routes: routes(&self.state, self.node.term() << 32),
+                assign_at: now,
+                assigning: false,
+            }
+        });
+        for (number, responder) in leading.permits.grant(now, Responder::is_cancelled) {
+            let millis = self.config.store.life.as_millis() as u64;
+            responder.finish_now(Body::Permitted(Permitted { number, millis }));
+        }
+        if now < leading.assign_at || leading.assigning {
+            return;
+        }
+        leading.assign_at = now + ASSIGN_INTERVAL;
+        leading.leases.prune(&self.state, now);
+        let moves = leading.leases.assign(&upstreams, &self.state, now);
+        if moves.is_empty() {
+            return;
+        }
+        let mut command = Command::of(Order::Assign(Assign { moves }));
+        command.at = wall_clock_millis().max(self.state.at());
+        if let Ok((index, term)) = self.node.propose(command.encode_to_vec().into()) {
+            leading.assigning = true;
+            self.waiting.insert(index, (term, None));
+        }
+    }
+
+    fn stop_leading(&mut self) {
+        if self.leading.take().is_some() {
+            emit!(
+                LEADER_LOST,
+                "member {:016x}, term {}",
+                self.node.id(),
+                self.node.term()
+            );
+        }
+        // Whether these are committed is for the next leader to say; dropping a responder tells
+        // its opener to ask again.
+        self.waiting.clear();
+    }
+
+    /// Stores, sends and applies until nothing is left to do.
+    fn settle(&mut self) -> Result<(), Error> {
+        loop {
+            let ready = self.node.ready();
+            if ready.is_empty() {
+                return Ok(());
+            }
+            tokio::task::block_in_place(|| self.carry_out(ready))?;
+        }
+    }
+
+    fn carry_out(&mut self, ready: Ready) -> Result<(), Error> {
+        let must_sync = ready.must_sync();
+        if let Some(snapshot) = ready.snapshot {
+            self.state = State::decode(snapshot.data.clone())?;
+            self.applied = snapshot.index;
+            self.snapshotted = snapshot.index;
+            self.disk.compact(self.node.ballot(), self.node.log())?;
+            emit!(SNAPSHOT_INSTALLED, "index {}", snapshot.index);
+        } else if must_sync {
+            let last = ready.entries.last().map(|entry| (entry.index, entry.term));
+            self.disk.append(ready.ballot, ready.entries)?;
+            if let Some((index, term)) = last {
+                self.node.synced(index, term);
+            }
+        }
+        for envelope in ready.messages {
+            self.send(envelope);
+        }
+        for entry in ready.committed {
+            self.applied = entry.index;
+            if entry.members.is_some() {
+                emit!(MEMBERS, "{}", describe_members(self.node.members()));
+            }
+            if !entry.data.is_empty() {
+                self.apply(entry.index, entry.term, entry.data);
+            }
+        }
+        if self.applied >= self.snapshotted + self.config.snapshot_every {
+            self.snapshot()?;
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, index: id::Index, term: id::Term, data: Bytes) {
+        // Only commands that this program encoded are in the log.
+        let Ok(command) = Command::decode(data) else {
+            return;
+        };
+        let before = self.state.catalog().revision();
+        let outcome = self.state.apply(&command);
+        self.log_outcome(&command, &outcome);
+        let revision = self.state.catalog().revision();
+        match &command.order {
+            Some(Order::Publish(change)) if revision > before => {
+                let items = change.items.clone();
+                self.push_update(items, revision);
+            }
+            Some(Order::Assign(assign)) => {
+                for step in &assign.moves {
+                    emit!(ASSIGNED, "replica {} to host {}", step.replica, step.host);
+                }
+                if let Some(leading) = &mut self.leading {
+                    leading.assigning = false;
+                }
+                self.push_routes();
+            }
+            _ => {}
+        }
+        if let Some((proposed, responder)) = self.waiting.remove(&index)
+            && let Some(responder) = responder
+            && proposed == term
+        {
+            responder.finish_now(Body::Outcome(outcome));
+        }
+    }
+
+    fn log_outcome(&self, command: &Command, outcome: &Outcome) {
+        let (Some(Order::Publish(change)), Some(Effect::Published(published))) =
+            (&command.order, &outcome.effect)
+        else {
+            return;
+        };
+        if self.leading.is_none() {
+            return;
+        }
+        if published.refusal.is_empty() {
+            emit!(
+                ACCEPTED,
+                "change {} in revision {}",
+                change.id,
+                published.revision
+            );
+        } else {
+            emit!(REFUSED, "change {}: {}", change.id, published.refusal);
+        }
+    }
+
+    fn push_update(&mut self, items: Vec<Item>, revision: id::Revision) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let update = Update {
+            reset: false,
+            complete: true,
+            revision,
+            items,
+            routes: None,
+        };
+        leading.push(&update);
+    }
+
+    fn push_routes(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.routes = routes(&self.state, leading.routes.index + 1);
+        let update = Update {
+            revision: self.state.catalog().revision(),
+            complete: true,
+            routes: Some(leading.routes.clone()),
+            ..Update::default()
+        };
+        leading.push(&update);
+    }
+
+    fn send(&mut self, mut envelope: Envelope) {
+        let to = envelope.to;
+        let Some(address) = self.address_of(to) else {
+            return;
+        };
+        let known = self.peers.get(&to);
+        if known.is_none_or(|(known, _)| *known != address) {
+            let (sender, queue) = mpsc::channel(PEER_QUEUE);
+            tokio::spawn(self.pool.clone().tell_all(address.clone(), queue));
+            self.peers.insert(to, (address, sender));
+        }
+        if let Some((_, sender)) = self.peers.get(&to) {
+            envelope.address.clone_from(&self.config.address);
+            // The log sends again what is lost.
+            let _ = sender.try_send(Body::Quorum(envelope));
+        }
+    }
+
+    /// Address of a member; one that joins knows only where messages came from.
+    fn address_of(&self, id: id::Member) -> Option<String> {
+        let members = &self.node.members().members;
+        let member = members.iter().find(|member| member.id == id);
+        let stated = member.map(|member| member.address.clone());
+        stated.or_else(|| self.addresses.get(&id).cloned())
+    }
+
+    fn snapshot(&mut self) -> Result<(), Error> {
+        if self
+            .node
+            .compact(self.applied, self.state.encode())
+            .is_some()
+        {
+            self.disk.compact(self.node.ballot(), self.node.log())?;
+            self.snapshotted = self.applied;
+            emit!(SNAPSHOT, "index {}", self.applied);
+        }
+        Ok(())
+    }
+}
+
+impl Leading {
+    /// Hands an update to every follower; one that lags too far starts anew.
+    fn push(&mut self, update: &Update) {
+        self.followers
+            .retain(|follower| follower.queue.try_send(update.clone()).is_ok());
+    }
+}
+
+/// Routes of the assignments; `index` grows over all leaders.
+fn routes(state: &State, index: u64) -> Routes {
+    let route = |assignment: &Assignment| Route {
+        replica: assignment.replica.clone(),
+        host: assignment.host.clone(),
+        address: assignment.address.clone(),
+        epoch: assignment.epoch,
+    };
+    Routes {
+        index,
+        routes: state.assignments().values().map(route).collect(),
+    }
+}
+
+/// Updates that lead from a revision to the newest.
+fn catch_up(state: &State, revision: id::Revision) -> Vec<Update> {
+    let newest = state.catalog().revision();
+    if let Some(recent) = state.since(revision) {
+        let update = |(revision, items): &(id::Revision, Vec<Item>)| Update {
+            complete: true,
+            revision: *revision,
+            items: items.clone(),
+            ..Update::default()
+        };
+        let mut updates: Vec<Update> = recent.map(update).collect();
+        if updates.is_empty() {
+            updates.push(Update {
+                complete: true,
+                revision: newest,
+                ..Update::default()
+            });
+        }
+        return updates;
+    }
+    let items: Vec<Item> = state
+        .catalog()
+        .items()
+        .into_iter()
+        .map(|(item, _)| item)
+        .collect();
+    let mut updates: Vec<Update> = items
+        .chunks(UPDATE_ITEMS)
+        .map(|items| Update {
+            revision: newest,
+            items: items.to_vec(),
+            ..Update::default()
+        })
+        .collect();
+    if updates.is_empty() {
+        updates.push(Update::default());
+    }
+    if let Some(first) = updates.first_mut() {
+        first.reset = true;
+    }
+    if let Some(last) = updates.last_mut() {
+        last.complete = true;
+        last.revision = newest;
+    }
+    updates
+}
+
+/// Sends a follower what it lacks, then each update as it comes.
+async fn feed(first: Vec<Update>, mut queue: mpsc::Receiver<Update>, responder: Responder) {
+    for update in first {
+        if responder.send(Body::Update(update)).await.is_err() {
+            return;
+        }
+    }
+    loop {
+        let update = tokio::select! {
+            update = queue.recv() => update,
+            () = responder.cancelled() => None,
+        };
+        let Some(update) = update else {
+            break;
+        };
+        if responder.send(Body::Update(update)).await.is_err() {
+            return;
+        }
+    }
+    // The follower asks again, here or at another leader.
+    let _ = responder.finish(Body::Redirect(Redirect::default())).await;
+}
+
+fn describe(refusal: &Refusal) -> String {
+    match refusal {
+        Refusal::NotLeader => "not the leader".to_owned(),
+        Refusal::NotReady => "the leader is not ready".to_owned(),
+        Refusal::Busy => "another change of membership is under way".to_owned(),
+        Refusal::Invalid(reason) => (*reason).to_owned(),
+    }
+}
+
+fn describe_members(members: &Members) -> String {
+    let name = |member: &Member| {
+        let duty = if member.voter { "voter" } else { "follower" };
+        format!("{:016x} {} {duty}", member.id, member.host)
+    };
+    members
+        .members
+        .iter()
+        .map(name)
+        .collect::<Vec<_>>()
+        .join(", ")
+}
+
+/// Wall clock in milliseconds since 1970, for the audit trail and the age of claims.
+fn wall_clock_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/tanagershift/src/voter/state.rs
@@ -0,0 +1,752 @@
+//! The replicated state: what the group has decided, command by command.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+use crate::{
+    catalog::{Catalog, ChangeSet, Item},
+    id,
+};
+
+/// Change ids whose answers are kept.
+const CHANGES_KEPT: usize = 20_000;
+/// Records of the audit trail that are kept.
+const AUDIT_KEPT: usize = 10_000;
+/// Change sets that are kept for hosts that lag.
+const RECENT_KEPT: usize = 1_000;
+/// Milliseconds for which a settled claim is kept: a day.
+const CLAIM_KEPT_MILLIS: u64 = 24 * 3600 * 1000;
+/// Milliseconds after a claim's deadline at which its owner is taken to be gone.
+const CLAIM_GRACE_MILLIS: u64 = 5_000;
+
+/// One command of the replicated log.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Command {
+    /// Leader's wall clock in milliseconds since 1970; never runs backwards in the log.
+    #[prost(uint64, tag = "1")]
+    pub at: u64,
+    /// What is decided.
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7")]
+    pub order: Option<Order>,
+}
+
+/// Kinds of commands.
+#[derive(Clone, PartialEq)]
+#[derive(Oneof)]
+pub enum Order {
+    /// Accepts or refuses a change set.
+    #[prost(message, tag = "2")]
+    Publish(ChangeSet),
+    /// Assigns replicas to holders.
+    #[prost(message, tag = "3")]
+    Assign(Assign),
+    /// Claims a request that may not be repeated.
+    #[prost(message, tag = "4")]
+    Claim(Claim),
+    /// Records how a claimed request ended.
+    #[prost(message, tag = "5")]
+    Settle(Settle),
+    /// Takes a host out of service, or back in.
+    #[prost(message, tag = "6")]
+    Drain(Drain),
+    /// Adds or removes a member; carried out by the leader, recorded here.
+    #[prost(message, tag = "7")]
+    Member(MemberChange),
+}
+
+/// New holders of replicas.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Assign {
+    /// One replica each.
+    #[prost(message, repeated, tag = "1")]
+    pub moves: Vec<Move>,
+}
+
+/// The next holder of one replica.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Move {
+    /// Replica.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// Host; empty when the replica is gone.
+    #[prost(string, tag = "2")]
+    pub host: String,
+    /// Session of the host's process.
+    #[prost(uint64, tag = "3")]
+    pub session: u64,
+    /// Whether the last holder gave the replica back with nothing running.
+    #[prost(bool, tag = "4")]
+    pub clean: bool,
+    /// Peer address of the host.
+    #[prost(string, tag = "5")]
+    pub address: String,
+}
+
+/// Claims a request before it is sent.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Claim {
+    /// Service and idempotency key of the caller.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Digest of the request.
+    #[prost(string, tag = "2")]
+    pub digest: String,
+    /// Attempt that would send the request; unique.
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    /// Milliseconds that the request may take.
+    #[prost(uint64, tag = "4")]
+    pub millis: u64,
+}
+
+/// How a claimed request ended.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Settle {
+    /// Key of the claim.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Owner of the claim; another's is left alone.
+    #[prost(string, tag = "2")]
+    pub owner: String,
+    /// Answer, when the request ran and it was received.
+    #[prost(message, optional, tag = "3")]
+    pub answer: Option<Answer>,
+    /// Whether it is proved that the request did not run, so that the key is free again.
+    #[prost(bool, tag = "4")]
+    pub not_run: bool,
+}
+
+/// A recorded answer.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Answer {
+    /// HTTP status.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// Content type.
+    #[prost(string, tag = "2")]
+    pub content_type: String,
+    /// Body.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+    /// Whether the body was too long to keep.
+    #[prost(bool, tag = "4")]
+    pub cut: bool,
+}
+
+/// Takes a host out of service, or back in.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Drain {
+    /// Host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Whether it is to hold nothing.
+    #[prost(bool, tag = "2")]
+    pub on: bool,
+    /// Who asked.
+    #[prost(string, tag = "3")]
+    pub operator: String,
+}
+
+/// A change of the group's membership.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct MemberChange {
+    /// Identity.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Host.
+    #[prost(string, tag = "2")]
+    pub host: String,
+    /// Peer address of the host.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Whether it is removed rather than added.
+    #[prost(bool, tag = "4")]
+    pub remove: bool,
+    /// Who asked.
+    #[prost(string, tag = "5")]
+    pub operator: String,
+}
+
+/// What a command led to.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Outcome {
+    /// Kind of outcome.
+    #[prost(oneof = "Effect", tags = "1, 2, 3")]
+    pub effect: Option<Effect>,
+}
+
+/// Kinds of outcomes.
+#[derive(Clone, PartialEq)]
+#[derive(Oneof)]
+pub enum Effect {
+    /// Of a publish.
+    #[prost(message, tag = "1")]
+    Published(Published),
+    /// Of a claim.
+    #[prost(message, tag = "2")]
+    Claimed(Claimed),
+    /// Of anything else.
+    #[prost(string, tag = "3")]
+    Done(String),
+}
+
+/// Outcome of a publish.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Published {
+    /// Revision in which the set is in force; zero when refused.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Whether the set made a new revision.
+    #[prost(bool, tag = "2")]
+    pub changed: bool,
+    /// Why it was refused; empty when accepted.
+    #[prost(string, tag = "3")]
+    pub refusal: String,
+}
+
+/// Outcome of a claim.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Claimed {
+    /// Standing of the claim.
+    #[prost(enumeration = "Standing", tag = "1")]
+    pub standing: i32,
+    /// Answer, when it is recorded.
+    #[prost(message, optional, tag = "2")]
+    pub answer: Option<Answer>,
+}
+
+/// Standing of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(prost::Enumeration)]
+#[repr(i32)]
+pub enum Standing {
+    /// The owner of this claim may send the request, once.
+    Won = 0,
+    /// Another attempt has it and has not ended.
+    Running = 1,
+    /// It ran, and its answer is recorded.
+    Answered = 2,
+    /// It may have run, and nobody will know.
+    MayHaveRun = 3,
+    /// The key was used with another request.
+    Mismatch = 4,
+}
+
+/// One record of the audit trail.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Audit {
+    /// Number of the record, from one.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Wall clock in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub at: u64,
+    /// Who asked.
+    #[prost(string, tag = "3")]
+    pub operator: String,
+    /// Change id, for a change set.
+    #[prost(string, tag = "4")]
+    pub change: String,
+    /// Revision that it led to; zero for none.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
+    /// What changed, for people.
+    #[prost(string, tag = "6")]
+    pub what: String,
+    /// `accepted`, `unchanged`, `refused` or `done`.
+    #[prost(string, tag = "7")]
+    pub outcome: String,
+    /// Why it was refused.
+    #[prost(string, tag = "8")]
+    pub reason: String,
+}
+
+/// Answer to a change set, kept under its change id.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+struct Change {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    digest: String,
+    #[prost(message, required, tag = "3")]
+    published: Published,
+}
+
+/// Holder of one replica.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Assignment {
+    /// Replica.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// Host that holds it.
+    #[prost(string, tag = "2")]
+    pub host: String,
+    /// Session of the host's process.
+    #[prost(uint64, tag = "3")]
+    pub session: u64,
+    /// Fencing number of the lease.
+    #[prost(uint64, tag = "4")]
+    pub epoch: u64,
+    /// Whether the last holder gave the replica back with nothing running.
+    #[prost(bool, tag = "5")]
+    pub clean: bool,
+    /// Peer address of the host.
+    #[prost(string, tag = "6")]
+    pub address: String,
+}
+
+/// A claim and how it stands.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct Claiming {
+    #[prost(message, required, tag = "1")]
+    claim: Claim,
+    /// Wall clock by which the owner has ended or is gone.
+    #[prost(uint64, tag = "2")]
+    until: u64,
+    #[prost(message, optional, tag = "3")]
+    answer: Option<Answer>,
+    #[prost(bool, tag = "4")]
+    may_have_run: bool,
+}
+
+/// The state as a snapshot holds it.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct Image {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    items: Vec<DatedItem>,
+    #[prost(message, repeated, tag = "3")]
+    changes: Vec<Change>,
+    #[prost(message, repeated, tag = "4")]
+    assignments: Vec<Assignment>,
+    #[prost(uint64, tag = "5")]
+    epoch: u64,
+    #[prost(message, repeated, tag = "6")]
+    claims: Vec<Claiming>,
+    #[prost(string, repeated, tag = "7")]
+    drained: Vec<String>,
+    #[prost(message, repeated, tag = "8")]
+    audit: Vec<Audit>,
+    #[prost(uint64, tag = "9")]
+    at: u64,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct DatedItem {
+    #[prost(message, required, tag = "1")]
+    item: Item,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+}
+
+/// What the group has decided.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    catalog: Catalog,
+    changes: VecDeque<Change>,
+    assignments: BTreeMap<id::Upstream, Assignment>,
+    epoch: id::Epoch,
+    claims: BTreeMap<String, Claiming>,
+    claim_order: VecDeque<(u64, String)>,
+    drained: BTreeSet<id::Host>,
+    audit: VecDeque<Audit>,
+    recent: VecDeque<(id::Revision, Vec<Item>)>,
+    at: u64,
+}
+
+impl State {
+    /// The accepted configuration.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Holders by replica.
+    pub fn assignments(&self) -> &BTreeMap<id::Upstream, Assignment> {
+        &self.assignments
+    }
+
+    /// Hosts that operators have taken out of service.
+    pub fn drained(&self) -> &BTreeSet<id::Host> {
+        &self.drained
+    }
+
+    /// The audit trail, oldest first.
+    pub fn audit(&self) -> impl DoubleEndedIterator<Item = &Audit> {
+        self.audit.iter()
+    }
+
+    /// Claims that are kept.
+    pub fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Newest wall clock in the log, in milliseconds since 1970.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// Items accepted after a revision, by revision, if they are all kept.
+    pub fn since(
+        &self,
+        revision: id::Revision,
+    ) -> Option<impl Iterator<Item = &(id::Revision, Vec<Item>)>> {
+        let covered = self.catalog.revision() - self.recent.len() as u64;
+        if revision < covered || revision > self.catalog.revision() {
+            return None;
+        }
+        let skip = usize::try_from(revision - covered).ok()?;
+        Some(self.recent.iter().skip(skip))
+    }
+
+    /// Outcome of a command that the state settles without a new entry.
+    pub fn peek(&self, command: &Command) -> Option<Outcome> {
+        match command.order.as_ref()? {
+            Order::Publish(change) => {
+                let known = self.known_change(change)?;
+                Some(Outcome::of(Effect::Published(known)))
+            }
+            Order::Claim(claim) => {
+                let claiming = self.claims.get(&claim.key)?;
+                let claimed = claiming.standing(claim, self.at.max(command.at));
+                Some(Outcome::of(Effect::Claimed(claimed)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, command: &Command) -> Outcome {
+        self.at = self.at.max(command.at);
+        let effect = match &command.order {
+            Some(Order::Publish(change)) => Effect::Published(self.publish(change)),
+            Some(Order::Assign(assign)) => {
+                for step in &assign.moves {
+                    self.assign(step);
+                }
+                Effect::Done(String::new())
+            }
+            Some(Order::Claim(claim)) => Effect::Claimed(self.claim(claim)),
+            Some(Order::Settle(settle)) => Effect::Done(self.settle(settle).to_owned()),
+            Some(Order::Drain(drain)) => Effect::Done(self.drain(drain)),
+            Some(Order::Member(change)) => Effect::Done(self.note_member(change)),
+            None => Effect::Done(String::new()),
+        };
+        Outcome::of(effect)
+    }
+
+    fn known_change(&self, change: &ChangeSet) -> Option<Published> {
+        let known = self
+            .changes
+            .iter()
+            .rev()
+            .find(|known| known.id == change.id)?;
+        if known.digest == change.digest() {
+            return Some(known.published.clone());
+        }
+        Some(Published {
+            refusal: format!("change id {} was used for another change set", change.id),
+            ..Published::default()
+        })
+    }
+
+    fn publish(&mut self, change: &ChangeSet) -> Published {
+        if let Some(known) = self.known_change(change) {
+            return known;
+        }
+        let before = self.catalog.revision();
+        let published = match self.catalog.apply(change) {
+            Ok(revision) => Published {
+                revision,
+                changed: revision > before,
+                refusal: String::new(),
+            },
+            Err(error) => Published {
+                refusal: error.to_string(),
+                ..Published::default()
+            },
+        };
+        if published.changed {
+            self.keep_recent(change);
+        }
+        self.changes.push_back(Change {
+            id: change.id.clone(),
+            digest: change.digest(),
+            published: published.clone(),
+        });
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+        }
+        self.record_publish(change, &published);
+        published
+    }
+
+    fn keep_recent(&mut self, change: &ChangeSet) {
+        let anonymous = |item: &Item| Item {
+            file: String::new(),
+            ..item.clone()
+        };
+        let items = change.items.iter().map(anonymous).collect();
+        self.recent.push_back((self.catalog.revision(), items));
+        if self.recent.len() > RECENT_KEPT {
+            self.recent.pop_front();
+        }
+    }
+
+    fn record_publish(&mut self, change: &ChangeSet, published: &Published) {
+        let outcome = match (published.refusal.is_empty(), published.changed) {
+            (false, _) => "refused",
+            (true, true) => "accepted",
+            (true, false) => "unchanged",
+        };
+        self.record(Audit {
+            operator: change.operator.clone(),
+            change: change.id.clone(),
+            revision: published.revision,
+            what: summarise(change),
+            outcome: outcome.to_owned(),
+            reason: published.refusal.clone(),
+            ..Audit::default()
+        });
+    }
+
+    fn record(&mut self, audit: Audit) {
+        let number = self.audit.back().map_or(1, |last| last.number + 1);
+        self.audit.push_back(Audit {
+            number,
+            at: self.at,
+            ..audit
+        });
+        if self.audit.len() > AUDIT_KEPT {
+            self.audit.pop_front();
+        }
+    }
+
+    fn assign(&mut self, step: &Move) {
+        self.epoch += 1;
+        if step.host.is_empty() {
+            self.assignments.remove(&step.replica);
+            return;
+        }
+        let assignment = Assignment {
+            replica: step.replica.clone(),
+            host: step.host.clone(),
+            session: step.session,
+            epoch: self.epoch,
+            clean: step.clean,
+            address: step.address.clone(),
+        };
+        self.assignments.insert(step.replica.clone(), assignment);
+    }
+
+    fn claim(&mut self, claim: &Claim) -> Claimed {
+        self.expire_claims();
+        if let Some(claiming) = self.claims.get(&claim.key) {
+            return claiming.standing(claim, self.at);
+        }
+        let claiming = Claiming {
+            claim: claim.clone(),
+            until: self.at + claim.millis + CLAIM_GRACE_MILLIS,
+            answer: None,
+            may_have_run: false,
+        };
+        self.claim_order.push_back((self.at, claim.key.clone()));
+        self.claims.insert(claim.key.clone(), claiming);
+        Claimed::of(Standing::Won)
+    }
+
+    fn expire_claims(&mut self) {
+        let expired = |at: u64, now: u64| at + CLAIM_KEPT_MILLIS < now;
+        while let Some((at, key)) = self.claim_order.front() {
+            if !expired(*at, self.at) {
+                break;
+            }
+            self.claims.remove(key);
+            self.claim_order.pop_front();
+        }
+    }
+
+    fn settle(&mut self, settle: &Settle) -> &'static str {
+        let Some(claiming) = self.claims.get_mut(&settle.key) else {
+            return "unknown claim";
+        };
+        if claiming.claim.owner != settle.owner {
+            return "another's claim";
+        }
+        if settle.not_run {
+            self.claims.remove(&settle.key);
+            self.claim_order.retain(|(_, key)| *key != settle.key);
+            return "";
+        }
+        claiming.may_have_run = settle.answer.is_none();
+        claiming.answer = settle.answer.clone();
+        ""
+    }
+
+    fn drain(&mut self, drain: &Drain) -> String {
+        if drain.on {
+            self.drained.insert(drain.host.clone());
+        } else {
+            self.drained.remove(&drain.host);
+        }
+        let verb = if drain.on { "drain" } else { "undrain" };
+        self.record(Audit {
+            operator: drain.operator.clone(),
+            what: format!("{verb} host {}", drain.host),
+            outcome: "done".to_owned(),
+            ..Audit::default()
+        });
+        String::new()
+    }
+
+    fn note_member(&mut self, change: &MemberChange) -> String {
+        let verb = if change.remove { "remove" } else { "add" };
+        self.record(Audit {
+            operator: change.operator.clone(),
+            what: format!("{verb} member {:016x} on host {}", change.id, change.host),
+            outcome: "done".to_owned(),
+            ..Audit::default()
+        });
+        String::new()
+    }
+
+    /// Writes the whole state into bytes.
+    pub fn encode(&self) -> Bytes {
+        let dated = |(item, revision)| DatedItem { item, revision };
+        let image = Image {
+            revision: self.catalog.revision(),
+            items: self.catalog.items().into_iter().map(dated).collect(),
+            changes: self.changes.iter().cloned().collect(),
+            assignments: self.assignments.values().cloned().collect(),
+            epoch: self.epoch,
+            claims: self.ordered_claims(),
+            drained: self.drained.iter().cloned().collect(),
+            audit: self.audit.iter().cloned().collect(),
+            at: self.at,
+        };
+        image.encode_to_vec().into()
+    }
+
+    fn ordered_claims(&self) -> Vec<Claiming> {
+        let find = |(_, key): &(u64, String)| self.claims.get(key).cloned();
+        self.claim_order.iter().filter_map(find).collect()
+    }
+
+    /// Reads a state from the bytes of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are not a state.
+    pub fn decode(bytes: Bytes) -> Result<Self, prost::DecodeError> {
+        let image = Image::decode(bytes)?;
+        let mut state = Self {
+            changes: image.changes.into(),
+            epoch: image.epoch,
+            drained: image.drained.into_iter().collect(),
+            audit: image.audit.into(),
+            at: image.at,
+            ..Self::default()
+        };
+        for dated in image.items {
+            state.catalog.restore(&[dated.item], dated.revision);
+        }
+        state.catalog.restore(&[], image.revision);
+        for assignment in image.assignments {
+            state
+                .assignments
+                .insert(assignment.replica.clone(), assignment);
+        }
+        for claiming in image.claims {
+            let key = claiming.claim.key.clone();
+            let began = claiming.until - claiming.claim.millis - CLAIM_GRACE_MILLIS;
+            state.claim_order.push_back((began, key.clone()));
+            state.claims.insert(key, claiming);
+        }
+        Ok(state)
+    }
+}
+
+impl Claiming {
+    fn standing(&self, claim: &Claim, now: u64) -> Claimed {
+        if self.claim.digest != claim.digest {
+            return Claimed::of(Standing::Mismatch);
+        }
+        if let Some(answer) = &self.answer {
+            return Claimed {
+                standing: Standing::Answered.into(),
+                answer: Some(answer.clone()),
+            };
+        }
+        if self.may_have_run {
+            return Claimed::of(Standing::MayHaveRun);
+        }
+        if self.claim.owner == claim.owner {
+            return Claimed::of(Standing::Won);
+        }
+        if now > self.until {
+            return Claimed::of(Standing::MayHaveRun);
+        }
+        Claimed::of(Standing::Running)
+    }
+}
+
+impl Claimed {
+    fn of(standing: Standing) -> Self {
+        Self {
+            standing: standing.into(),
+            answer: None,
+        }
+    }
+}
+
+impl Outcome {
+    /// Makes an outcome of an effect.
+    pub fn of(effect: Effect) -> Self {
+        Self {
+            effect: Some(effect),
+        }
+    }
+}
+
+impl Command {
+    /// Makes a command of an order; the leader dates it.
+    pub fn of(order: Order) -> Self {
+        Self {
+            at: 0,
+            order: Some(order),
+        }
+    }
+}
+
+/// Names a few items of a change set for the audit trail.
+fn summarise(change: &ChangeSet) -> String {
+    const NAMED: usize = 5;
+    let name = |item: &Item| {
+        let sign = if item.removed { "-" } else { "" };
+        format!("{sign}{}", crate::catalog::describe(item))
+    };
+    let mut names: Vec<_> = change.items.iter().take(NAMED).map(name).collect();
+    if change.items.len() > NAMED {
+        names.push(format!("and {} more", change.items.len() - NAMED));
+    }
+    names.join(", ")
+}
