quorum: drop the identity of a lost disk also when it was heard before

Cause: a voter whose host had a new identity was only dropped if the leader of this term had never heard it. After a disk was lost under a standing leader, the dead identity stayed a voter: 4 voters, and the next loss left no majority. The window in which a repair is not complete remains: until the dead identity is dropped, a second loss costs availability, not entries.

--- a/crates/tanagershift/src/lib.rs
+++ b/crates/tanagershift/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod platform;
 pub mod quorum;
 pub mod settings;
+#[cfg(test)]
+mod testing;
 pub mod verdict;
 pub mod voter;
 pub mod wire;
--- a/crates/tanagershift/src/quorum/node.rs
+++ b/crates/tanagershift/src/quorum/node.rs
@@ -27,6 +27,8 @@
 const PART_LEN: usize = 1 << 20;
 /// Entries that a member may lack when it is made a voter.
 const PROMOTE_LAG: u64 = 16;
+/// Election times of silence after which a voter with a twin on its host is taken for replaced.
+const SILENT_ELECTIONS: u32 = 3;
 /// Heartbeat rounds whose start is remembered.
 const ROUNDS: usize = 64;
 
@@ -625,7 +627,7 @@
             for member in &mut members.members {
                 member.voter |= member.id == id;
             }
-        } else if let Some(replaced) = self.replaced() {
+        } else if let Some(replaced) = self.replaced(now) {
             members.members.retain(|member| member.id != replaced);
         } else {
             return;
@@ -634,21 +636,23 @@
         let _ = self.change_members(members);
     }
 
-    /// A voter whose host has another, newer voter.
-    fn replaced(&self) -> Option<id::Member> {
+    /// A silent voter whose host has another voter: its data folder was lost and replaced.
+    fn replaced(&self, now: Instant) -> Option<id::Member> {
         let Role::Leader(leadership) = &self.role else {
             return None;
         };
         let voters = || self.members.members.iter().filter(|member| member.voter);
-        let twin = |member: &&Member| {
-            let other = voters().find(|other| other.host == member.host && other.id != member.id);
-            let silent = leadership
-                .progress
-                .get(&member.id)
-                .is_some_and(|progress| progress.acked.is_none());
-            other.is_some() && silent
+        let silence = self.config.election * SILENT_ELECTIONS;
+        let is_silent = |member: id::Member| {
+            let progress = leadership.progress.get(&member);
+            let heard = progress.map(|progress| progress.acked.unwrap_or(leadership.began));
+            heard.is_some_and(|heard| now.saturating_duration_since(heard) > silence)
+        };
+        let has_twin = |member: &&Member| {
+            voters().any(|other| other.host == member.host && other.id != member.id)
         };
-        voters().find(twin).map(|member| member.id)
+        let replaced = voters().find(|member| has_twin(member) && is_silent(member.id));
+        replaced.map(|member| member.id)
     }
 
     /// Gives the leadership to the voter that lacks least, for a graceful shutdown.
