--- /dev/null
+++ b/crates/proofs/src/lib.rs
@@ -0,0 +1,4 @@
+//! Starts the real programs for a test, and kills, freezes or ends them by id.
+
+pub mod site;
+pub mod transcript;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,22 +1,10 @@
 //! Stand-ins of the systems around tanagershift, and its load tool.
-//!
-//! They share no code with what they test: they meet it by the published protocols only.
-
-mod engine;
-mod faults;
-mod http;
-mod list;
-mod load;
-mod ports;
-mod samples;
-mod service;
-mod session;
-mod store;
 
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use env_logger::Env;
+use standins::{engine, list, load, ports, samples, service, session, store};
 
 /// Stand-ins of the systems around tanagershift, and its load tool.
 #[derive(FromArgs)]
--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -28,7 +28,11 @@
 }
 
 /// Listeners on free ports; the ports are free again when these are dropped.
-fn free(count: usize) -> Result<Vec<TcpListener>, Error> {
+///
+/// # Errors
+///
+/// Too few ports are free.
+pub fn free(count: usize) -> Result<Vec<TcpListener>, Error> {
     let mut random = rand::rng();
     let mut found = Vec::new();
     let mut tries = 0;
--- a/crates/tanagershift/src/entry/completion.rs
+++ b/crates/tanagershift/src/entry/completion.rs
@@ -23,7 +23,6 @@
 use crate::{
     completion,
     link::{self, Call as Stream},
-    metrics::Open,
     operator::split_target,
     verdict::Verdict,
     wire::{Body, Cause, Failed, Head, Serve},
@@ -83,12 +82,14 @@
     let content_type = begun.head.content_type.clone();
     let streamed = content_type.starts_with("text/event-stream");
     let mut response = if streamed {
-        let open = entry.host.metrics.open();
-        Response::new(pass(begun, deadline, open))
+        // Whether it ran to its end is only known at the end.
+        Response::new(pass(entry.clone(), begun, deadline))
     } else {
         let body = timeout_at(deadline, collect(begun)).await;
         let body = body.unwrap_or_else(|_| Err("the deadline passed".to_owned()));
-        Response::new(reply::full(body.map_err(Failure::unknown)?))
+        let mut response = Response::new(reply::full(body.map_err(Failure::unknown)?));
+        entry.note_answer("completion", &mut response);
+        response
     };
     *response.status_mut() = status;
     if let Ok(value) = HeaderValue::from_str(&content_type) {
@@ -98,7 +99,6 @@
     if let Ok(value) = HeaderValue::from_str(&name) {
         response.headers_mut().insert(TARGET_HEADER, value);
     }
-    entry.note_answer("completion", &mut response);
     Ok(response)
 }
 
@@ -311,21 +311,24 @@
 }
 
 /// Hands a streamed answer on; the caller's going away cancels it.
-fn pass(begun: Begun, deadline: Instant, open: Open) -> reply::Body {
+fn pass(entry: Arc<Entry>, begun: Begun, deadline: Instant) -> reply::Body {
     let (sender, receiver) = mpsc::channel(PARTS);
+    let open = entry.host.metrics.open();
     tokio::spawn(async move {
         let _open = open;
+        let count = |verdict| entry.host.metrics.request("completion", verdict);
         let pump = pump(begun, &sender);
         let outcome = tokio::select! {
             outcome = timeout_at(deadline, pump) => outcome,
             // Dropping the stream tells the holder.
-            () = sender.closed() => return,
+            () = sender.closed() => return count(Verdict::MayHaveRun),
         };
         let failure = match outcome {
-            Ok(Ok(())) => return,
+            Ok(Ok(())) => return count(Verdict::Ran),
             Ok(Err(reason)) => Failure::unknown(reason),
             Err(_) => Failure::unknown("the deadline passed"),
         };
+        count(failure.verdict);
         // The error comes as an event of the stream, and then the connection is cut, so that no
         // client takes the part for the whole.
         let event = format!("data: {}\n\n", failure.json());
--- a/crates/tanagershift/src/entry/server.rs
+++ b/crates/tanagershift/src/entry/server.rs
@@ -305,9 +305,16 @@
     }
 
     /// Takes note of a request that ended with an answer.
+    ///
+    /// A server's error says that it got the request, not that it ran.
     pub fn note_answer(&self, kind: &'static str, response: &mut Response<reply::Body>) {
-        self.host.metrics.request(kind, Verdict::Ran);
-        let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
+        let verdict = if response.status().is_server_error() {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::Ran
+        };
+        self.host.metrics.request(kind, verdict);
+        let verdict = HeaderValue::from_static(verdict.as_str());
         response.headers_mut().insert(VERDICT_HEADER, verdict);
     }
 }
--- a/crates/tanagershift/src/entry/service.rs
+++ b/crates/tanagershift/src/entry/service.rs
@@ -47,6 +47,12 @@
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which a caller who finds no upstream may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Statuses of an upstream that is out of order or too busy.
+const REFUSALS: [StatusCode; 3] = [
+    StatusCode::BAD_GATEWAY,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::GATEWAY_TIMEOUT,
+];
 /// Headers that belong to one connection (RFC 9110, section 7.6.1).
 const HOP_HEADERS: [&str; 7] = [
     "connection",
@@ -170,16 +176,21 @@
         verdict: Verdict::NotRun,
         reason: "no upstream of the service is live".to_owned(),
     };
+    let mut refused = None;
     loop {
         for (name, address) in candidates(entry, target) {
             if !first && !entry.budget().spend() {
-                return Err(broken);
+                return refused.ok_or(broken);
             }
             if !first {
                 entry.host.metrics.retry();
             }
             first = false;
             match attempt(entry, call, target, &name, &address, deadline).await {
+                // Another upstream may do better, if the call may be sent again.
+                Ok(answered) if idempotent && REFUSALS.contains(&answered.status) => {
+                    refused = Some(answered);
+                }
                 Ok(answered) => return Ok(answered),
                 Err(attempt) => {
                     // What may have run once stays so, whatever a later attempt proves of itself.
@@ -195,6 +206,9 @@
                 }
             }
         }
+        if let Some(answered) = refused {
+            return Ok(answered);
+        }
         if Instant::now() + SEARCH_PAUSE >= patience {
             return Err(broken);
         }
--- a/crates/tanagershift/src/holder/tests.rs
+++ b/crates/tanagershift/src/holder/tests.rs
@@ -93,7 +93,10 @@
                 Action::AskPermit { .. } => self.permits += 1,
                 Action::ReleasePermit { .. } => self.open_permits -= 1,
                 Action::Refuse { ticket, .. } => {
-                    assert!(self.waiting.remove(&ticket).is_some(), "{ticket} was not waiting");
+                    assert!(
+                        self.waiting.remove(&ticket).is_some(),
+                        "{ticket} was not waiting"
+                    );
                     assert!(self.answered.insert(ticket), "{ticket} is answered twice");
                 }
             }
@@ -103,11 +106,21 @@
     fn dispatch(&mut self, ticket: Ticket, name: String) {
         assert!(self.now < self.lease, "a request goes out without a lease");
         assert!(self.loaded.contains(&name), "{name} is not loaded");
-        let target = self.waiting.remove(&ticket).expect("only what waits is dispatched");
-        assert_eq!(parse_name(&name), Some(target), "another adapter or version");
+        let target = self
+            .waiting
+            .remove(&ticket)
+            .expect("only what waits is dispatched");
+        assert_eq!(
+            parse_name(&name),
+            Some(target),
+            "another adapter or version"
+        );
         let time = Duration::from_millis(self.random.random_range(50..1500));
         self.running.insert(ticket, (name, self.now + time));
-        assert!(self.running.len() <= config().batch, "the batch is too full");
+        assert!(
+            self.running.len() <= config().batch,
+            "the batch is too full"
+        );
         self.dispatched += 1;
     }
 
@@ -275,8 +288,16 @@
             let actions = bench.replica.tick(bench.now);
             bench.act(actions);
         }
-        assert!(bench.waiting.is_empty(), "{} wait for ever", bench.waiting.len());
-        assert_eq!(bench.answered.len() as u64, bench.next - 1, "each is answered once");
+        assert!(
+            bench.waiting.is_empty(),
+            "{} wait for ever",
+            bench.waiting.len()
+        );
+        assert_eq!(
+            bench.answered.len() as u64,
+            bench.next - 1,
+            "each is answered once"
+        );
         assert!(bench.replica.is_idle(), "orders are left over");
     });
 }
@@ -298,15 +319,19 @@
 impl Fixture {
     fn submit(&mut self, ticket: Ticket, adapter: u64) -> Vec<Action> {
         let deadline = self.now + Duration::from_secs(60);
-        self.replica.submit(request(ticket, adapter, deadline), self.now)
+        self.replica
+            .submit(request(ticket, adapter, deadline), self.now)
     }
 
     /// Loads an adapter that a request waits for.
     fn load(&mut self, ticket: Ticket, adapter: u64) -> Vec<Action> {
         self.submit(ticket, adapter);
         let actions = self.replica.permit(Some(ticket), self.now);
-        assert!(matches!(&actions[0], Action::Load { target: loaded, .. } if *loaded == target(adapter)));
-        self.replica.loaded(&target(adapter), Ok(Duration::from_millis(250)), self.now)
+        assert!(
+            matches!(&actions[0], Action::Load { target: loaded, .. } if *loaded == target(adapter))
+        );
+        self.replica
+            .loaded(&target(adapter), Ok(Duration::from_millis(250)), self.now)
     }
 }
 
@@ -317,14 +342,25 @@
         let actions = fixture.load(adapter, adapter);
         assert!(matches!(actions[0], Action::Dispatch { .. }));
     }
-    assert_eq!(fixture.submit(9, 9), [], "no permit is asked for what finds no room");
+    assert_eq!(
+        fixture.submit(9, 9),
+        [],
+        "no permit is asked for what finds no room"
+    );
     let actions = fixture.replica.finished(1, false, fixture.now);
-    assert!(matches!(actions[..], [Action::AskPermit { .. }]), "{actions:?}");
+    assert!(
+        matches!(actions[..], [Action::AskPermit { .. }]),
+        "{actions:?}"
+    );
     let actions = fixture.replica.permit(Some(50), fixture.now);
     let Action::Load { evict, .. } = &actions[0] else {
         panic!("{actions:?}");
     };
-    assert_eq!(evict.as_deref(), Some("a1@1#7.2"), "the one that is not in use goes");
+    assert_eq!(
+        evict.as_deref(),
+        Some("a1@1#7.2"),
+        "the one that is not in use goes"
+    );
 }
 
 #[test]
@@ -338,7 +374,12 @@
     fixture.replica.permit(Some(50), fixture.now);
     // The unload of a1 is on its way; a request for it must not run on the old copy.
     let actions = fixture.submit(10, 1);
-    assert!(!actions.iter().any(|action| matches!(action, Action::Dispatch { .. })), "{actions:?}");
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::Dispatch { .. })),
+        "{actions:?}"
+    );
 }
 
 #[test]
@@ -351,22 +392,42 @@
     for attempt in 0..3 {
         let actions = fixture.replica.permit(Some(attempt), fixture.now);
         assert!(matches!(actions[0], Action::Load { .. }), "{actions:?}");
-        refused = fixture.replica.loaded(&target(2), Err(LoadFailure::Refused), fixture.now);
+        refused = fixture
+            .replica
+            .loaded(&target(2), Err(LoadFailure::Refused), fixture.now);
         fixture.now += Duration::from_secs(2);
         fixture.replica.tick(fixture.now);
     }
     assert!(
-        matches!(refused[0], Action::Refuse { reason: Reason::Unloadable, .. }),
+        matches!(
+            refused[0],
+            Action::Refuse {
+                reason: Reason::Unloadable,
+                ..
+            }
+        ),
         "{refused:?}"
     );
     let actions = fixture.submit(3, 2);
-    assert!(matches!(actions[..], [Action::Refuse { reason: Reason::Unloadable, .. }]));
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            reason: Reason::Unloadable,
+            ..
+        }]
+    ));
     let actions = fixture.submit(4, 1);
-    assert!(matches!(actions[..], [Action::Dispatch { ticket: 4, .. }]), "a neighbour runs");
+    assert!(
+        matches!(actions[..], [Action::Dispatch { ticket: 4, .. }]),
+        "a neighbour runs"
+    );
     fixture.now += Duration::from_secs(60);
     fixture.replica.tick(fixture.now);
     let actions = fixture.submit(5, 2);
-    assert!(matches!(actions[..], [Action::AskPermit { .. }]), "it is tried again: {actions:?}");
+    assert!(
+        matches!(actions[..], [Action::AskPermit { .. }]),
+        "it is tried again: {actions:?}"
+    );
 }
 
 #[test]
@@ -382,9 +443,14 @@
         ..request(2, 1, fixture.now + Duration::from_secs(9))
     };
     let actions = fixture.replica.submit(request, fixture.now);
-    assert!(matches!(actions[..], [Action::AskPermit { .. }]), "{actions:?}");
+    assert!(
+        matches!(actions[..], [Action::AskPermit { .. }]),
+        "{actions:?}"
+    );
     fixture.replica.permit(Some(1), fixture.now);
-    let actions = fixture.replica.loaded(&other, Ok(Duration::ZERO), fixture.now);
+    let actions = fixture
+        .replica
+        .loaded(&other, Ok(Duration::ZERO), fixture.now);
     let Action::Dispatch { name, .. } = &actions[0] else {
         panic!("{actions:?}");
     };
@@ -396,7 +462,9 @@
 fn check_found(usable: bool, idle: bool, is_used: bool, makes_room: bool) {
     let mut fixture = fixture();
     for adapter in 0..3 {
-        fixture.replica.find(&format!("a{adapter}@1#3.1"), usable, idle, fixture.now);
+        fixture
+            .replica
+            .find(&format!("a{adapter}@1#3.1"), usable, idle, fixture.now);
     }
     let actions = fixture.submit(1, 1);
     let used = matches!(&actions[..], [Action::Dispatch { name, .. }] if name == "a1@1#3.1");
@@ -426,11 +494,15 @@
 fn a_report_that_nothing_runs_frees_copies_of_the_old_holder() {
     let mut fixture = fixture();
     for adapter in 0..3 {
-        fixture.replica.find(&format!("a{adapter}@1#3.1"), false, false, fixture.now);
+        fixture
+            .replica
+            .find(&format!("a{adapter}@1#3.1"), false, false, fixture.now);
     }
     fixture.submit(1, 9);
     assert!(fixture.replica.is_shared(fixture.now));
-    fixture.replica.report(&["a0@1#3.1".to_owned()], fixture.now);
+    fixture
+        .replica
+        .report(&["a0@1#3.1".to_owned()], fixture.now);
     fixture.replica.tick(fixture.now);
     let actions = fixture.replica.permit(Some(1), fixture.now);
     let Action::Load { evict, .. } = &actions[0] else {
@@ -446,8 +518,18 @@
     replica.submit(request(1, 1, now + Duration::from_secs(60)), now);
     let later = now + Duration::from_secs(1);
     let actions = replica.tick(later);
-    assert!(matches!(actions[..], [Action::Refuse { ticket: 1, reason: Reason::LeaseEnded, .. }]));
-    assert_eq!(replica.permit(Some(1), later), [Action::ReleasePermit { permit: 1 }]);
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            ticket: 1,
+            reason: Reason::LeaseEnded,
+            ..
+        }]
+    ));
+    assert_eq!(
+        replica.permit(Some(1), later),
+        [Action::ReleasePermit { permit: 1 }]
+    );
 }
 
 fn check_pass(json: &str, expected: Result<&str, &str>) {
--- a/crates/tanagershift/src/quorum/disk_tests.rs
+++ b/crates/tanagershift/src/quorum/disk_tests.rs
@@ -49,7 +49,8 @@
     let folder = tempfile::tempdir().unwrap();
     let mut disk = formatted(folder.path());
     let ballot = Ballot { term: 2, vote: 7 };
-    disk.append(Some(ballot), vec![entry(1, 1), entry(2, 1)]).unwrap();
+    disk.append(Some(ballot), vec![entry(1, 1), entry(2, 1)])
+        .unwrap();
     // A later leader replaced the second entry.
     disk.append(None, vec![entry(2, 2), entry(3, 2)]).unwrap();
     drop(disk);
@@ -82,7 +83,10 @@
         fs::write(&path, &three[..length]).unwrap();
         let (_, recovered) = reopen(folder.path()).unwrap();
         let kept = recovered.log.last_index();
-        assert!((2..=3).contains(&kept), "{length} bytes keep {kept} entries");
+        assert!(
+            (2..=3).contains(&kept),
+            "{length} bytes keep {kept} entries"
+        );
     }
 }
 
@@ -115,7 +119,10 @@
             bad[at] ^= 0x40;
             fs::write(&path, &bad).unwrap();
             let error = reopen(folder.path()).unwrap_err();
-            assert!(matches!(error, Error::Damaged { .. }), "{name} {at}: {error}");
+            assert!(
+                matches!(error, Error::Damaged { .. }),
+                "{name} {at}: {error}"
+            );
         }
     }
 }
@@ -186,10 +193,25 @@
     };
     let other = tempfile::tempdir().unwrap();
     Disk::identify(other.path(), || 7).unwrap();
-    Disk::format(other.path(), Identity { member: 7, group: 9 }, &leader).unwrap();
-    fs::copy(other.path().join("snapshot"), folder.path().join("snapshot")).unwrap();
+    Disk::format(
+        other.path(),
+        Identity {
+            member: 7,
+            group: 9,
+        },
+        &leader,
+    )
+    .unwrap();
+    fs::copy(
+        other.path().join("snapshot"),
+        folder.path().join("snapshot"),
+    )
+    .unwrap();
     let (_, recovered) = reopen(folder.path()).unwrap();
-    assert_eq!((recovered.log.last_index(), recovered.log.last_term()), (2, 5));
+    assert_eq!(
+        (recovered.log.last_index(), recovered.log.last_term()),
+        (2, 5)
+    );
 }
 
 #[test]
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -44,6 +44,8 @@
 const UPDATE_ITEMS: usize = 5000;
 /// Updates that wait for one host that follows.
 const FOLLOWER_QUEUE: usize = 256;
+/// Term of the first leader of a group.
+const FIRST_TERM: id::Term = 1;
 /// Time between two decisions on assignments.
 const ASSIGN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -510,9 +512,15 @@
                 self.node.id(),
                 self.node.term()
             );
+            // Nobody can have led before the first term, so there is nothing to wait out.
+            let first = self.node.term() == FIRST_TERM;
+            let lease = self.config.lease.clone();
+            let store = self.config.store.clone();
+            let inherited = if first { now } else { now + lease.wait() };
+            let grants = if first { now } else { now + store.life };
             Leading {
-                leases: Leases::new(self.config.lease.clone(), now),
-                permits: Permits::new(self.config.store.clone(), self.node.term() << 32, now),
+                leases: Leases::new(lease, inherited),
+                permits: Permits::new(store, self.node.term() << 32, grants),
                 followers: Vec::new(),
                 routes: routes(&self.state, self.node.term() << 32),
                 assign_at: now,
--- a/crates/tanagershift/src/voter/lease.rs
+++ b/crates/tanagershift/src/voter/lease.rs
@@ -75,9 +75,8 @@
 }
 
 impl Leases {
-    /// Starts with nothing known but that an earlier leader may have given leases.
-    pub fn new(config: Config, now: Instant) -> Self {
-        let inherited = now + config.wait();
+    /// Starts with nothing known but that leases of an earlier leader may run until `inherited`.
+    pub fn new(config: Config, inherited: Instant) -> Self {
         Self {
             config,
             hosts: BTreeMap::new(),
--- a/crates/tanagershift/src/voter/permit.rs
+++ b/crates/tanagershift/src/voter/permit.rs
@@ -61,9 +61,9 @@
 }
 
 impl<T> Permits<T> {
-    /// Starts a book; permits of an earlier leader are waited out. `base` makes numbers unique.
-    pub fn new(config: Config, base: u64, now: Instant) -> Self {
-        let next = now + config.life;
+    /// Starts a book whose first permit is given at `next`, when those of an earlier leader have
+    /// ended. `base` makes numbers unique over all leaders.
+    pub fn new(config: Config, base: u64, next: Instant) -> Self {
         Self {
             config,
             queue: VecDeque::new(),
--- a/crates/tanagershift/src/voter/tests.rs
+++ b/crates/tanagershift/src/voter/tests.rs
@@ -92,7 +92,12 @@
 fn published() -> State {
     let mut state = State::default();
     let answer = publish(&mut state, "one", 0, first());
-    assert_eq!((answer.revision, answer.changed), (1, true), "{}", answer.refusal);
+    assert_eq!(
+        (answer.revision, answer.changed),
+        (1, true),
+        "{}",
+        answer.refusal
+    );
     state
 }
 
@@ -101,7 +106,11 @@
     let mut state = published();
     let again = publish(&mut state, "one", 0, first());
     assert_eq!((again.revision, again.changed), (1, true));
-    assert_eq!(state.audit().count(), 1, "it is one change in the audit trail");
+    assert_eq!(
+        state.audit().count(),
+        1,
+        "it is one change in the audit trail"
+    );
 }
 
 #[test]
@@ -140,7 +149,12 @@
 #[test]
 fn a_later_change_of_the_same_intent_names_the_revision_that_came_first() {
     let mut state = published();
-    publish(&mut state, "two", 1, vec![version("a", 2, "w/2"), intent("plan", "a", 2)]);
+    publish(
+        &mut state,
+        "two",
+        1,
+        vec![version("a", 2, "w/2"), intent("plan", "a", 2)],
+    );
     let lost = publish(&mut state, "three", 1, vec![intent("plan", "a", 1)]);
     assert_eq!(lost.revision, 0);
     insta::assert_snapshot!(lost.refusal, @": intent plan was changed by revision 2, after base revision 1");
@@ -195,7 +209,11 @@
         }
         let restored = State::decode(state.encode()).unwrap();
         assert_eq!(shape(restored.catalog()), shape(state.catalog()));
-        assert_eq!(restored.encode(), state.encode(), "a snapshot of a snapshot is the same");
+        assert_eq!(
+            restored.encode(),
+            state.encode(),
+            "a snapshot of a snapshot is the same"
+        );
     });
 }
 
@@ -348,7 +366,10 @@
             start,
             elapsed: Duration::ZERO,
             state: State::default(),
-            leader: Leases::new(lease::Config::default(), start),
+            leader: Leases::new(
+                lease::Config::default(),
+                start + lease::Config::default().wait(),
+            ),
             leader_clock: random.random_range(0.957..1.043),
             holders,
             answers: VecDeque::new(),
@@ -363,7 +384,11 @@
     }
 
     fn delay(&mut self) -> Duration {
-        let most = if self.random.random_bool(0.05) { 4000 } else { 60 };
+        let most = if self.random.random_bool(0.05) {
+            4000
+        } else {
+            60
+        };
         self.elapsed + Duration::from_millis(self.random.random_range(0..most))
     }
 
@@ -426,7 +451,11 @@
             .partition(|(comes, ..)| *comes <= elapsed);
         self.answers = later;
         for (_, host, session, sent, lease) in due {
-            let holder = self.holders.iter_mut().find(|one| one.name == host).unwrap();
+            let holder = self
+                .holders
+                .iter_mut()
+                .find(|one| one.name == host)
+                .unwrap();
             if holder.session != session || lease.millis == 0 {
                 continue;
             }
@@ -451,7 +480,8 @@
             6..10 => {
                 self.leader_clock = self.random.random_range(0.957..1.043);
                 let now = self.now(self.leader_clock);
-                self.leader = Leases::new(lease::Config::default(), now);
+                let inherited = now + lease::Config::default().wait();
+                self.leader = Leases::new(lease::Config::default(), inherited);
             }
             10..16 => {
                 let number = self.random.random_range(0..self.upstreams.len());
@@ -477,19 +507,34 @@
                 let lease = holder.held.get(&upstream.name);
                 lease.is_some_and(|(_, until)| self.now(holder.clock) < *until)
             };
-            let holding: Vec<&str> = self.holders.iter().filter(holds).map(|one| &*one.name).collect();
-            assert!(holding.len() <= 1, "{} is held by {holding:?}", upstream.name);
+            let holding: Vec<&str> = self
+                .holders
+                .iter()
+                .filter(holds)
+                .map(|one| &*one.name)
+                .collect();
+            assert!(
+                holding.len() <= 1,
+                "{} is held by {holding:?}",
+                upstream.name
+            );
         }
     }
 }
 
 impl Holder {
     fn take(&mut self, grants: &[Grant], until: Instant) {
-        for grant in grants.iter().filter(|grant| !self.returned.contains(&grant.epoch)) {
+        for grant in grants
+            .iter()
+            .filter(|grant| !self.returned.contains(&grant.epoch))
+        {
             if grant.release {
                 self.released.insert(grant.replica.clone());
             }
-            let held = self.held.entry(grant.replica.clone()).or_insert((grant.epoch, until));
+            let held = self
+                .held
+                .entry(grant.replica.clone())
+                .or_insert((grant.epoch, until));
             if held.0 < grant.epoch {
                 *held = (grant.epoch, until);
             } else if held.0 == grant.epoch {
@@ -506,9 +551,17 @@
         for _ in 0..2000 {
             leasing.step();
         }
-        let epochs: BTreeSet<id::Epoch> =
-            leasing.state.assignments().values().map(|one| one.epoch).collect();
-        assert_eq!(epochs.len(), leasing.state.assignments().len(), "an epoch was used twice");
+        let epochs: BTreeSet<id::Epoch> = leasing
+            .state
+            .assignments()
+            .values()
+            .map(|one| one.epoch)
+            .collect();
+        assert_eq!(
+            epochs.len(),
+            leasing.state.assignments().len(),
+            "an epoch was used twice"
+        );
     });
 }
 
@@ -532,7 +585,9 @@
             beat(leasing, host);
         }
         let at = now(leasing);
-        let moves = leasing.leader.assign(&leasing.upstreams, &leasing.state, at);
+        let moves = leasing
+            .leader
+            .assign(&leasing.upstreams, &leasing.state, at);
         if !moves.is_empty() {
             apply(&mut leasing.state, 0, Order::Assign(Assign { moves }));
         }
@@ -548,7 +603,10 @@
     let gone_at = leasing.elapsed;
     while of(&leasing, "y") < 7 {
         step(&mut leasing, &["y"]);
-        assert!(leasing.elapsed < gone_at + Duration::from_secs(4), "the takeover is slow");
+        assert!(
+            leasing.elapsed < gone_at + Duration::from_secs(4),
+            "the takeover is slow"
+        );
     }
 }
 
@@ -560,8 +618,20 @@
         host: host.to_owned(),
         ..Move::default()
     };
-    apply(&mut state, 0, Order::Assign(Assign { moves: vec![step("x")] }));
-    apply(&mut state, 0, Order::Assign(Assign { moves: vec![step("")] }));
+    apply(
+        &mut state,
+        0,
+        Order::Assign(Assign {
+            moves: vec![step("x")],
+        }),
+    );
+    apply(
+        &mut state,
+        0,
+        Order::Assign(Assign {
+            moves: vec![step("")],
+        }),
+    );
     assert!(state.assignments().is_empty());
 }
 
@@ -584,7 +654,10 @@
                 permits.ask(waited, random.random_range(1..9), (), now);
             }
             for (number, ()) in permits.grant(now, |()| false) {
-                assert!(open.insert(number, elapsed).is_none(), "a number was used twice");
+                assert!(
+                    open.insert(number, elapsed).is_none(),
+                    "a number was used twice"
+                );
                 given.push(elapsed);
             }
             assert!(open.len() <= config.in_flight, "{} in flight", open.len());
@@ -595,13 +668,16 @@
                 open.remove(&number);
             }
             if random.random_bool(0.002) {
-                permits = Permits::new(config.clone(), (step + 1) << 32, now);
+                permits = Permits::new(config.clone(), (step + 1) << 32, now + config.life);
             }
         }
         for window in given.windows(6) {
             let span = window[5] - window[0];
             // Six permits at the rate's ninety percent span five intervals.
-            assert!(span >= Duration::from_millis(1100), "six permits within {span:?}");
+            assert!(
+                span >= Duration::from_millis(1100),
+                "six permits within {span:?}"
+            );
         }
         assert!(given.len() > 50, "{} permits", given.len());
     });
