--- a/crates/proofs/src/site.rs
+++ b/crates/proofs/src/site.rs
@@ -429,11 +429,8 @@
     /// Waits until a host is ready, as a balancer does.
     pub async fn until_ready(&self, host: &str) {
         let began = Instant::now();
-        while !self
-            .admin(host, "/readyz")
-            .await
-            .is_some_and(|reply| reply.status == 200)
-        {
+        let not_ready = |reply: Option<Reply>| reply.is_none_or(|reply| reply.status != 200);
+        while not_ready(self.admin(host, "/readyz").await) {
             assert!(
                 began.elapsed() < PATIENCE,
                 "{host} is not ready\n{}",
--- a/crates/tanagershift/src/lib.rs
+++ b/crates/tanagershift/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod settings;
 #[cfg(test)]
 mod testing;
+#[cfg(test)]
+mod tests;
 pub mod verdict;
 pub mod voter;
 pub mod wire;
--- /dev/null
+++ b/crates/tanagershift/src/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tables of input from outside: settings, operators' files, callers' bodies, frames.
+
+mod completion;
+mod operator;
+mod settings;
+mod wire;
