--- a/crates/proofs/src/site.rs
+++ b/crates/proofs/src/site.rs
@@ -96,15 +96,14 @@
     pub client: Client,
 }
 
-/// Folder of the programs under test.
+/// Folder of the programs under test: beside this one, or above a test.
 fn programs() -> PathBuf {
-    let test = std::env::current_exe().expect("a test has a path");
-    let folder = test.ancestors().nth(2).expect("it lies two folders deep");
-    let daemon = folder.join("tanagershiftd");
-    assert!(
-        daemon.exists(),
-        "the programs are not built; use ./run-tests"
-    );
+    let own = std::env::current_exe().expect("a program has a path");
+    let folder = own
+        .ancestors()
+        .skip(1)
+        .find(|folder| folder.join("tanagershiftd").exists());
+    let folder = folder.expect("the programs are not built; use ./run-tests");
     folder.to_owned()
 }
 
@@ -337,6 +336,11 @@
         kill(id, signal).expect("a child can be signalled");
     }
 
+    /// Id of a process that runs.
+    pub fn id(&self, name: &str) -> u32 {
+        self.processes[name].id()
+    }
+
     /// Ends a process at once.
     pub fn kill(&mut self, name: &str) {
         let mut child = self.processes.remove(name).expect("it runs");
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -17,43 +17,46 @@
 
 use crate::http::{Client, Error};
 
+/// Longest time that a histogram holds, in microseconds.
+const LONGEST_MICROS: u64 = 300_000_000;
+
 /// Send requests at a fixed rate and report times and outcomes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "load")]
 pub struct Config {
     /// address to send to; several take turns
     #[argh(option)]
-    target: Vec<SocketAddr>,
+    pub target: Vec<SocketAddr>,
     /// requests a second
     #[argh(option, default = "50.0")]
-    rate: f64,
+    pub rate: f64,
     /// seconds
     #[argh(option, default = "5")]
-    seconds: u64,
+    pub seconds: u64,
     /// prefix of the model names; a number of six digits and the suffix follow
     #[argh(option, default = "String::from(\"student-\")")]
-    prefix: String,
+    pub prefix: String,
     /// suffix of the model names
     #[argh(option, default = "String::from(\"@1\")")]
-    suffix: String,
-    /// number of models
+    pub suffix: String,
+    /// number of models; with 0 the prefix is the whole name
     #[argh(option, default = "100")]
-    models: usize,
+    pub models: usize,
     /// exponent of the models' popularity (Zipf)
     #[argh(option, default = "1.0")]
-    skew: f64,
+    pub skew: f64,
     /// tokens of each answer
     #[argh(option, default = "16")]
-    tokens: u32,
+    pub tokens: u32,
     /// path of plain calls to send in place of completions
     #[argh(option)]
-    path: Option<String>,
+    pub path: Option<String>,
     /// seed of arrivals and models
     #[argh(option, default = "1")]
-    seed: u64,
+    pub seed: u64,
     /// exit with an error unless every request succeeded
     #[argh(switch)]
-    strict: bool,
+    pub strict: bool,
 }
 
 /// Times in microseconds, and outcomes.
@@ -67,7 +70,10 @@
 
 impl Report {
     fn new() -> Result<Self, Error> {
-        let histogram = || Histogram::new(3).map_err(|error| Error::new(error.to_string()));
+        let histogram = || {
+            Histogram::new_with_bounds(1, LONGEST_MICROS, 3)
+                .map_err(|error| Error::new(error.to_string()))
+        };
         Ok(Self {
             first: histogram()?,
             gap: histogram()?,
@@ -132,7 +138,21 @@
 }
 
 /// Runs the load and prints the report.
+///
+/// # Errors
+///
+/// The load cannot be sent, or a strict one met a failure.
 pub async fn run(config: Config) -> Result<(), Error> {
+    println!("{}", measure(config).await?);
+    Ok(())
+}
+
+/// Runs the load.
+///
+/// # Errors
+///
+/// The load cannot be sent, or a strict one met a failure.
+pub async fn measure(config: Config) -> Result<Value, Error> {
     if config.target.is_empty() {
         return Err(Error::new("give a target"));
     }
@@ -157,7 +177,10 @@
             }
             None => {
                 let url = format!("http://{target}/v1/completions");
-                let model = format!("{}{model:06}{}", config.prefix, config.suffix);
+                let model = match config.models {
+                    0 => config.prefix.clone(),
+                    _ => format!("{}{model:06}{}", config.prefix, config.suffix),
+                };
                 let prompt = format!("request {number} of seed {}", config.seed);
                 let tokens = config.tokens;
                 tasks.spawn(async move {
@@ -173,19 +196,18 @@
     finish(&report, number as u64, config.strict)
 }
 
-fn finish(report: &Mutex<Report>, sent: u64, strict: bool) -> Result<(), Error> {
-    let report = report.lock().unwrap_or_else(PoisonError::into_inner);
+fn finish(report: &Mutex<Report>, sent: u64, strict: bool) -> Result<Value, Error> {
+    let report = lock(report);
     let mut json = report.json();
     json["sent"] = sent.into();
-    println!("{json}");
     let good = report.outcomes.get("200").copied().unwrap_or(0);
     if strict && good != sent {
+        let bad = sent - good;
         return Err(Error::new(format!(
-            "{} of {sent} requests failed",
-            sent - good
+            "{bad} of {sent} requests failed: {json}"
         )));
     }
-    Ok(())
+    Ok(json)
 }
 
 fn lock(report: &Mutex<Report>) -> std::sync::MutexGuard<'_, Report> {
