--- a/crates/tanagershift/src/holder/driver.rs
+++ b/crates/tanagershift/src/holder/driver.rs
@@ -49,6 +49,8 @@
 /// Events that wait for one replica's task.
 const QUEUE: usize = 4096;
 
+/// Name that no adapter has.
+const NO_ADAPTER: &str = "none";
 /// Answers to a load order that speak against the adapter's version itself.
 const LOAD_REFUSED: [StatusCode; 3] = [
     StatusCode::NOT_FOUND,
@@ -569,8 +571,16 @@
     fn list_found(&self) {
         let engine = self.engine.clone();
         let events = self.events.clone();
+        let epoch = self.replica.epoch();
+        let fencing = self.shared.config.fencing;
         tokio::spawn(async move {
             while !events.is_closed() {
+                // An order for a name that nobody has raises the engine's fencing number, so that
+                // nothing of an earlier holder is obeyed once the copies are taken over.
+                if fencing && engine.unload(NO_ADAPTER, epoch).await.is_err() {
+                    sleep(ENGINE_RETRY).await;
+                    continue;
+                }
                 if let Ok(names) = engine.adapters().await {
                     let _ = events.send(Event::Found(names)).await;
                     return;
--- a/crates/tanagershift/src/holder/replica.rs
+++ b/crates/tanagershift/src/holder/replica.rs
@@ -136,6 +136,8 @@
     used: Instant,
     /// Until when an earlier holder's requests may run on it.
     keep: Instant,
+    /// When it was loaded.
+    ready: Instant,
 }
 
 /// An adapter that an earlier holder loaded and may still be using.
@@ -286,6 +288,7 @@
                 pins: 0,
                 used: now,
                 keep: until,
+                ready: now,
             };
             self.slots.insert(target, slot);
             return;
@@ -414,6 +417,7 @@
                 if let Some(slot) = self.slots.get_mut(target) {
                     slot.loaded = true;
                     slot.used = now;
+                    slot.ready = now;
                 }
             }
             Err(failure) => {
@@ -510,6 +514,7 @@
             pins: 0,
             used: now,
             keep: now,
+            ready: now,
         };
         if let Some(evicted) = &evict {
             self.slots.retain(|_, slot| slot.name != *evicted);
@@ -595,7 +600,8 @@
         Some(Action::Dispatch {
             ticket,
             name,
-            stalled: now.duration_since(waiting.since),
+            // The time after the load is waiting for a place in the batch.
+            stalled: slot.ready.saturating_duration_since(waiting.since),
         })
     }
 
