Memory of voters and hosts with 180,000 adapters; hand-over at once; shorter searches

Cause, by measurement at 180,000 adapters: the leader held 315 MiB and a host that starts was sent 360,000 items built for it alone; a bound on recent change sets made it start anew, and then a look at the lag cut its download every 500 ms (9.6 s to ready, 257 MiB). A replica drained on purpose was without a holder for up to 909 ms, since each step waited for the next heartbeat. The tool waited 2 s for a frozen voter before it asked the next. Ruled out: the audit trail and change ids (18 sets); the hosts' own catalog of the leader (it has two, about 90 MiB each: not changed here).

--- a/crates/tanagershift/src/catalog.rs
+++ b/crates/tanagershift/src/catalog.rs
@@ -10,6 +10,8 @@
 
 /// Bytes of a version's digest that are kept.
 const DIGEST_LEN: usize = 16;
+/// Start of a SHA-256 digest.
+pub type Hash = [u8; DIGEST_LEN];
 /// Most characters of a name.
 const NAME_LIMIT: usize = 128;
 
@@ -217,7 +219,7 @@
     /// Number, from one.
     pub number: u64,
     /// Digest of its content.
-    pub digest: Box<str>,
+    pub digest: Hash,
     /// Where the weights lie in the store.
     pub weights: Box<str>,
     /// Revision that accepted it.
@@ -468,13 +470,13 @@
             return Ok(Effect::Created);
         };
         let digest = version_digest(ours);
-        if *accepted.digest != *digest {
+        if accepted.digest != digest {
             return ContentSnafu {
                 file,
                 adapter: &ours.adapter,
                 number: ours.number,
-                ours: digest,
-                accepted: &*accepted.digest,
+                ours: hex(&digest),
+                accepted: hex(&accepted.digest),
                 revision: accepted.revision,
             }
             .fail();
@@ -567,7 +569,7 @@
         };
         let version = Version {
             number: item.number,
-            digest: version_digest(item).into(),
+            digest: version_digest(item),
             weights: item.weights.as_str().into(),
             revision,
             removed,
@@ -578,7 +580,11 @@
         {
             Ok(at) if removed => adapter.versions[at].removed = true,
             Ok(at) => adapter.versions[at] = version,
-            Err(at) => adapter.versions.insert(at, version),
+            Err(at) => {
+                // Most adapters have one version; room for more would double the catalog.
+                adapter.versions.reserve_exact(1);
+                adapter.versions.insert(at, version);
+            }
         }
     }
 
@@ -593,28 +599,29 @@
     }
 
     /// Every item with the revision that accepted it, so that `restore` makes an equal catalog.
-    pub fn items(&self) -> Vec<(Item, id::Revision)> {
-        let mut items = Vec::new();
-        for (name, adapter) in &self.adapters {
+    pub fn items(&self) -> impl Iterator<Item = (Item, id::Revision)> + '_ {
+        let adapters = self.adapters.iter().flat_map(|(name, adapter)| {
             let kind = Kind::Adapter(AdapterItem {
                 name: name.to_string(),
                 base: adapter.base.to_string(),
                 audience: adapter.audience.to_string(),
             });
-            items.push((Item::of(kind, adapter.removed), adapter.revision));
-            for version in &adapter.versions {
+            let first = (Item::of(kind, adapter.removed), adapter.revision);
+            let versions = adapter.versions.iter().map(move |version| {
                 let kind = Kind::Version(VersionItem {
                     adapter: name.to_string(),
                     number: version.number,
                     weights: version.weights.to_string(),
                 });
-                items.push((Item::of(kind, version.removed), version.revision));
-            }
-        }
-        for (intent, revision) in self.intents.values() {
-            items.push((Item::of(Kind::Intent(intent.clone()), false), *revision));
-        }
-        items
+                (Item::of(kind, version.removed), version.revision)
+            });
+            std::iter::once(first).chain(versions)
+        });
+        let intents = self.intents.values().map(|(intent, revision)| {
+            let item = Item::of(Kind::Intent(intent.clone()), false);
+            (item, *revision)
+        });
+        adapters.chain(intents)
     }
 }
 
@@ -714,9 +721,12 @@
     Ok(())
 }
 
-/// Digest of a version's content, in hexadecimal.
-pub fn version_digest(version: &VersionItem) -> String {
-    hex(&Sha256::digest(version.encode_to_vec())[..DIGEST_LEN])
+/// Digest of a version's content.
+pub fn version_digest(version: &VersionItem) -> Hash {
+    let mut digest = [0; DIGEST_LEN];
+    let whole = Sha256::digest(version.encode_to_vec());
+    digest.copy_from_slice(&whole[..DIGEST_LEN]);
+    digest
 }
 
 /// Writes bytes in hexadecimal.
--- a/crates/tanagershift/src/entry/completion.rs
+++ b/crates/tanagershift/src/entry/completion.rs
@@ -21,6 +21,7 @@
     server::{Call, Entry},
 };
 use crate::{
+    catalog::hex,
     completion,
     link::{self, Call as Stream},
     operator::split_target,
@@ -137,7 +138,7 @@
             request: call.id.clone(),
             adapter: name.to_owned(),
             version: number,
-            digest: version.digest.to_string(),
+            digest: hex(&version.digest),
             weights: version.weights.to_string(),
             path: call.path.clone(),
             body: call.body.clone(),
--- a/crates/tanagershift/src/entry/service.rs
+++ b/crates/tanagershift/src/entry/service.rs
@@ -37,8 +37,8 @@
 const RECORD_LIMIT: usize = 64 << 10;
 /// Longest time to claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(8);
-/// Longest wait for one voter's answer to a claim.
-const CLAIM_ATTEMPT: Duration = Duration::from_secs(2);
+/// Longest wait for one voter's answer to a claim, which may be asked again by its owner.
+const CLAIM_ATTEMPT: Duration = Duration::from_millis(700);
 /// Longest time to record an answer, in the background.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Pause before another attempt's claim is looked at once more.
--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -140,6 +140,7 @@
 pub async fn beat(host: Arc<Host>) {
     let lease = host.settings.group.lease.lease;
     let interval = lease / 5;
+    let news = host.holder.news();
     loop {
         let sent = Instant::now();
         let heartbeat = Body::Heartbeat(heartbeat(&host));
@@ -150,7 +151,8 @@
         if let Ok(Body::Lease(lease)) = answer {
             take_lease(&host, &lease, sent);
         }
-        sleep(interval.saturating_sub(sent.elapsed())).await;
+        // News go at once; without any, the next heartbeat comes in its time.
+        let _ = timeout(interval.saturating_sub(sent.elapsed()), news.notified()).await;
     }
 }
 
@@ -219,13 +221,16 @@
     }
 }
 
-/// Ends when a revision has been accepted for a while and has not come here.
+/// Ends when a revision has been accepted for a while, has not come here, and nothing else comes.
 async fn lag(host: &Host) {
     let mut lagging_since: Option<Instant> = None;
+    let mut seen = host.updates();
     loop {
         sleep(LAG_LIMIT / 4).await;
-        if host.accepted() <= host.revision() {
+        let updates = host.updates();
+        if host.accepted() <= host.revision() || updates > seen {
             lagging_since = None;
+            seen = updates;
             continue;
         }
         let since = *lagging_since.get_or_insert_with(Instant::now);
--- a/crates/tanagershift/src/host.rs
+++ b/crates/tanagershift/src/host.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, PoisonError, RwLock, RwLockReadGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -66,6 +66,8 @@
     routes: watch::Sender<(u64, Routes)>,
     draining: watch::Sender<bool>,
     confirmed: AtomicBool,
+    /// Updates taken since the start.
+    updates: AtomicU64,
 }
 
 impl Host {
@@ -100,6 +102,7 @@
             routes: watch::Sender::new((0, Routes::default())),
             draining: watch::Sender::new(false),
             confirmed: AtomicBool::new(false),
+            updates: AtomicU64::new(0),
         }
     }
 
@@ -127,8 +130,14 @@
     }
 
     /// Takes an update of configuration or routes; nothing ever goes back to a lower revision.
-    pub fn apply(&self, update: Update) {
+    pub fn apply(&self, mut update: Update) {
+        // What does not decode is as good as lost, and asked for again.
+        let Ok(items) = update.take_items() else {
+            return;
+        };
+        self.updates.fetch_add(1, Ordering::Relaxed);
         if let Some(routes) = update.routes {
+            self.note_assigned(&routes.routes);
             let by_replica = routes
                 .routes
                 .into_iter()
@@ -147,7 +156,7 @@
             incoming.catalog = Some(Catalog::default());
         }
         if let Some(catalog) = &mut incoming.catalog {
-            catalog.restore(&update.items, 0);
+            catalog.restore(&items, 0);
             if update.complete {
                 catalog.restore(&[], update.revision);
                 let whole = incoming.catalog.take().unwrap_or_default();
@@ -157,7 +166,17 @@
         }
         let mut catalog = self.catalog.write().unwrap_or_else(PoisonError::into_inner);
         if update.revision == catalog.revision() + 1 {
-            catalog.restore(&update.items, update.revision);
+            catalog.restore(&items, update.revision);
+        }
+    }
+
+    /// Asks for the lease on a replica that was just assigned to this host.
+    fn note_assigned(&self, routes: &[Route]) {
+        let own = &self.settings.host.name;
+        let mine = |route: &&Route| route.host == *own;
+        let is_new = |route: &Route| !self.holder.holds(&route.replica, route.epoch);
+        if routes.iter().filter(mine).any(is_new) {
+            self.holder.news().notify_one();
         }
     }
 
@@ -168,6 +187,11 @@
         }
     }
 
+    /// Updates taken since the start, to tell whether any still come.
+    pub fn updates(&self) -> u64 {
+        self.updates.load(Ordering::Relaxed)
+    }
+
     /// Holders by replica.
     pub fn routes(&self) -> Routes {
         self.routes.borrow().1.clone()
--- a/crates/tanagershift/src/quorum/disk.rs
+++ b/crates/tanagershift/src/quorum/disk.rs
@@ -34,8 +34,6 @@
 const IDENTITY: &str = "identity";
 /// Name of the file whose lock keeps a second process out.
 const LOCK: &str = "lock";
-/// Bytes of garbage after which the log file is written anew with a snapshot.
-pub const LOG_LIMIT: u64 = 64 << 20;
 
 /// Why the state cannot be read or kept.
 #[derive(Debug)]
@@ -281,15 +279,17 @@
 }
 
 fn frame(message: &impl Message) -> Vec<u8> {
-    let payload = message.encode_to_vec();
-    let mut header = Vec::with_capacity(HEADER_LEN + payload.len());
-    header.extend_from_slice(&MAGIC.to_le_bytes());
-    header.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    header.extend_from_slice(&crc32c::crc32c(&payload).to_le_bytes());
-    let check = crc32c::crc32c(&header);
-    header.extend_from_slice(&check.to_le_bytes());
-    header.extend_from_slice(&payload);
-    header
+    let length = message.encoded_len();
+    let mut bytes = Vec::with_capacity(HEADER_LEN + length);
+    bytes.resize(HEADER_LEN, 0);
+    message.encode_raw(&mut bytes);
+    let sum = crc32c::crc32c(&bytes[HEADER_LEN..]);
+    for (at, word) in [MAGIC, length as u32, sum].into_iter().enumerate() {
+        bytes[at * 4..][..4].copy_from_slice(&word.to_le_bytes());
+    }
+    let check = crc32c::crc32c(&bytes[..HEADER_LEN - 4]);
+    bytes[HEADER_LEN - 4..HEADER_LEN].copy_from_slice(&check.to_le_bytes());
+    bytes
 }
 
 /// What stands at an offset of a file of records.
--- a/crates/tanagershift/src/quorum/log.rs
+++ b/crates/tanagershift/src/quorum/log.rs
@@ -7,6 +7,8 @@
 
 /// Entries behind a snapshot that are kept for members that lag a little.
 const TRAILING: u64 = 256;
+/// Bytes of those entries.
+const TRAILING_BYTES: usize = 1 << 20;
 
 /// Entries after a base, and the newest snapshot.
 #[derive(Clone, Debug)]
@@ -99,7 +101,7 @@
 
     /// Takes a snapshot of applied entries and forgets most of them.
     pub fn compact(&mut self, snapshot: Snapshot) {
-        let keep_after = snapshot.index.saturating_sub(TRAILING);
+        let keep_after = self.keep_after(snapshot.index);
         if keep_after > self.base.0
             && let Some(term) = self.term(keep_after)
         {
@@ -110,6 +112,22 @@
         self.snapshot = snapshot;
     }
 
+    /// Index after which entries are kept beside a snapshot.
+    fn keep_after(&self, index: id::Index) -> id::Index {
+        let mut after = index;
+        let mut bytes = 0;
+        while after > index.saturating_sub(TRAILING)
+            && let Some(entry) = self.get(after)
+        {
+            bytes += entry.data.len();
+            if bytes > TRAILING_BYTES {
+                break;
+            }
+            after -= 1;
+        }
+        after
+    }
+
     /// Takes a leader's snapshot; entries that do not continue it are dropped.
     pub fn install(&mut self, snapshot: Snapshot) {
         if self.term(snapshot.index) != Some(snapshot.term) {
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -31,7 +31,7 @@
         disk::{self, Disk, Identity},
         message::{Envelope, Member, Members, Snapshot},
     },
-    wire::{Body, Failure, Follow, Format, Permitted, Redirect, Route, Routes, Update},
+    wire::{self, Body, Failure, Follow, Format, Permitted, Redirect, Route, Routes, Update},
 };
 
 /// Inputs that wait for the voter.
@@ -44,6 +44,8 @@
 const UPDATE_ITEMS: usize = 5000;
 /// Updates that wait for one host that follows.
 const FOLLOWER_QUEUE: usize = 256;
+/// Bytes by which the log file grows before a snapshot is written.
+const LOG_GROWTH: u64 = 16 << 20;
 /// Term of the first leader of a group.
 const FIRST_TERM: id::Term = 1;
 /// Time between two decisions on assignments.
@@ -141,6 +143,8 @@
     permits: Permits<Responder>,
     followers: Vec<Follower>,
     routes: Routes,
+    /// The whole configuration at a revision, for hosts that start anew.
+    packed: Option<(id::Revision, Vec<Bytes>)>,
     assign_at: Instant,
     /// Whether an assignment is in the log and not yet applied.
     assigning: bool,
@@ -161,6 +165,8 @@
     list: watch::Receiver<List>,
     leading: Option<Leading>,
     snapshotted: id::Index,
+    /// Bytes of the log file at which a snapshot is written.
+    log_limit: u64,
 }
 
 /// Starts a voter; the future ends when its files fail.
@@ -328,6 +334,7 @@
             list,
             leading: None,
             snapshotted: applied,
+            log_limit: LOG_GROWTH,
             config,
         })
     }
@@ -413,6 +420,9 @@
                 let Some(leading) = &mut self.leading else {
                     return;
                 };
+                if !beat.returned.is_empty() {
+                    leading.assign_at = now;
+                }
                 let lease = leading.leases.beat(beat, &self.state, now);
                 responder.finish_now(Body::Lease(lease));
             }
@@ -487,7 +497,19 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let mut updates = catch_up(&self.state, follow.revision);
+        let newest = self.state.catalog().revision();
+        let whole = self.state.since(follow.revision).is_none();
+        if whole
+            && leading
+                .packed
+                .as_ref()
+                .is_none_or(|(packed, _)| *packed != newest)
+        {
+            leading.packed = Some((newest, pack(&self.state)));
+        }
+        let packed = leading.packed.as_ref();
+        let packed = packed.map_or(&[][..], |(_, packed)| packed);
+        let mut updates = catch_up(&self.state, follow.revision, packed);
         if let Some(last) = updates.last_mut() {
             last.routes = Some(leading.routes.clone());
         }
@@ -522,6 +544,7 @@
                 leases: Leases::new(lease, inherited),
                 permits: Permits::new(store, self.node.term() << 32, grants),
                 followers: Vec::new(),
+                packed: None,
                 routes: routes(&self.state, self.node.term() << 32),
                 assign_at: now,
                 assigning: false,
@@ -600,7 +623,8 @@
                 self.apply(entry.index, entry.term, entry.data);
             }
         }
-        if self.applied >= self.snapshotted + self.config.snapshot_every {
+        let long = self.applied >= self.snapshotted + self.config.snapshot_every;
+        if long || self.disk.length() >= self.log_limit {
             self.snapshot()?;
         }
         Ok(())
@@ -669,7 +693,7 @@
             complete: true,
             revision,
             items,
-            routes: None,
+            ..Update::default()
         };
         leading.push(&update);
     }
@@ -722,6 +746,7 @@
         {
             self.disk.compact(self.node.ballot(), self.node.log())?;
             self.snapshotted = self.applied;
+            self.log_limit = self.disk.length() + LOG_GROWTH;
             emit!(SNAPSHOT, "index {}", self.applied);
         }
         Ok(())
@@ -751,7 +776,7 @@
 }
 
 /// Updates that lead from a revision to the newest.
-fn catch_up(state: &State, revision: id::Revision) -> Vec<Update> {
+fn catch_up(state: &State, revision: id::Revision, packed: &[Bytes]) -> Vec<Update> {
     let newest = state.catalog().revision();
     if let Some(recent) = state.since(revision) {
         let update = |(revision, items): &(id::Revision, Vec<Item>)| Update {
@@ -770,31 +795,30 @@
         }
         return updates;
     }
-    let items: Vec<Item> = state
-        .catalog()
-        .items()
-        .into_iter()
-        .map(|(item, _)| item)
-        .collect();
-    let mut updates: Vec<Update> = items
-        .chunks(UPDATE_ITEMS)
-        .map(|items| Update {
-            revision: newest,
-            items: items.to_vec(),
-            ..Update::default()
-        })
-        .collect();
-    if updates.is_empty() {
-        updates.push(Update::default());
-    }
-    if let Some(first) = updates.first_mut() {
-        first.reset = true;
-    }
-    if let Some(last) = updates.last_mut() {
-        last.complete = true;
-        last.revision = newest;
+    let last = packed.len().saturating_sub(1);
+    let update = |(at, part): (usize, &Bytes)| Update {
+        reset: at == 0,
+        complete: at == last,
+        revision: newest,
+        packed: part.clone(),
+        ..Update::default()
+    };
+    packed.iter().enumerate().map(update).collect()
+}
+
+/// The whole configuration in parts, each encoded once for all hosts that start anew.
+fn pack(state: &State) -> Vec<Bytes> {
+    let mut parts = Vec::new();
+    let mut part = wire::Items::default();
+    for (item, _) in state.catalog().items() {
+        part.items.push(item);
+        if part.items.len() == UPDATE_ITEMS {
+            parts.push(part.encode_to_vec().into());
+            part.items.clear();
+        }
     }
-    updates
+    parts.push(part.encode_to_vec().into());
+    parts
 }
 
 /// Sends a follower what it lacks, then each update as it comes.
--- a/crates/tanagershift/src/voter/report.rs
+++ b/crates/tanagershift/src/voter/report.rs
@@ -6,7 +6,7 @@
 
 use super::{lease::Leases, state::State};
 use crate::{
-    catalog::Catalog,
+    catalog::{Catalog, hex},
     platform::{Kind, Standing, Upstream},
     quorum::Node,
     wire::Query,
@@ -120,7 +120,7 @@
     let version = |version: &crate::catalog::Version| {
         json!({
             "number": version.number,
-            "digest": &*version.digest,
+            "digest": hex(&version.digest),
             "weights": &*version.weights,
             "revision": version.revision,
         })
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
-use prost::{Message, Oneof};
+use prost::{Message, Oneof, encoding::message};
 
 use crate::{
     catalog::{Catalog, ChangeSet, Item},
@@ -16,6 +16,10 @@
 const AUDIT_KEPT: usize = 10_000;
 /// Change sets that are kept for hosts that lag.
 const RECENT_KEPT: usize = 1_000;
+/// Items of those change sets that are kept, over all; one set is always kept.
+const RECENT_ITEMS_KEPT: usize = 20_000;
+/// Number of the field of `Image` that holds the items.
+const IMAGE_ITEMS: u32 = 2;
 /// Milliseconds for which a settled claim is kept: a day.
 const CLAIM_KEPT_MILLIS: u64 = 24 * 3600 * 1000;
 /// Milliseconds after a claim's deadline at which its owner is taken to be gone.
@@ -507,8 +511,11 @@
         };
         let items = change.items.iter().map(anonymous).collect();
         self.recent.push_back((self.catalog.revision(), items));
-        if self.recent.len() > RECENT_KEPT {
-            self.recent.pop_front();
+        let mut items: usize = self.recent.iter().map(|(_, items)| items.len()).sum();
+        while self.recent.len() > RECENT_KEPT
+            || (items > RECENT_ITEMS_KEPT && self.recent.len() > 1)
+        {
+            items -= self.recent.pop_front().map_or(0, |(_, items)| items.len());
         }
     }
 
@@ -631,10 +638,9 @@
 
     /// Writes the whole state into bytes.
     pub fn encode(&self) -> Bytes {
-        let dated = |(item, revision)| DatedItem { item, revision };
         let image = Image {
             revision: self.catalog.revision(),
-            items: self.catalog.items().into_iter().map(dated).collect(),
+            items: Vec::new(),
             changes: self.changes.iter().cloned().collect(),
             assignments: self.assignments.values().cloned().collect(),
             epoch: self.epoch,
@@ -643,7 +649,13 @@
             audit: self.audit.iter().cloned().collect(),
             at: self.at,
         };
-        image.encode_to_vec().into()
+        let mut bytes = image.encode_to_vec();
+        // One item at a time: all at once would need several times the catalog's memory.
+        for (item, revision) in self.catalog.items() {
+            let dated = DatedItem { item, revision };
+            message::encode(IMAGE_ITEMS, &dated, &mut bytes);
+        }
+        bytes.into()
     }
 
     fn ordered_claims(&self) -> Vec<Claiming> {
--- a/crates/tanagershift/src/voter/tests.rs
+++ b/crates/tanagershift/src/voter/tests.rs
@@ -218,7 +218,7 @@
 }
 
 fn shape(catalog: &crate::catalog::Catalog) -> Vec<Item> {
-    catalog.items().into_iter().map(|(item, _)| item).collect()
+    catalog.items().map(|(item, _)| item).collect()
 }
 
 #[test]
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -151,6 +151,32 @@
     /// Routes, when they changed.
     #[prost(message, optional, tag = "5")]
     pub routes: Option<Routes>,
+    /// More items, as an encoded `Items`; shared by all hosts that start anew.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub packed: Bytes,
+}
+
+impl Update {
+    /// Takes the items out, the packed ones as well.
+    ///
+    /// # Errors
+    ///
+    /// The packed items do not decode.
+    pub fn take_items(&mut self) -> Result<Vec<catalog::Item>, prost::DecodeError> {
+        let packed = Items::decode(std::mem::take(&mut self.packed))?;
+        let mut items = std::mem::take(&mut self.items);
+        items.extend(packed.items);
+        Ok(items)
+    }
+}
+
+/// A part of the configuration.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Items {
+    /// The items.
+    #[prost(message, repeated, tag = "1")]
+    pub items: Vec<catalog::Item>,
 }
 
 /// Which host holds each replica.
--- a/crates/tanagershiftctl/src/commands.rs
+++ b/crates/tanagershiftctl/src/commands.rs
@@ -24,8 +24,8 @@
 
 /// Longest wait for an answer of the leader.
 const ASK_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest wait for one voter's answer.
-const ATTEMPT: Duration = Duration::from_secs(2);
+/// Longest wait for one voter's answer; what is asked may be asked again.
+const ATTEMPT: Duration = Duration::from_millis(700);
 /// Time between two looks at the hosts.
 const LOOK: Duration = Duration::from_millis(50);
 /// Time between two looks at the audit trail.
@@ -132,6 +132,12 @@
     }
 }
 
+fn no_answer() -> Error {
+    Error::NoAnswer {
+        hint: String::new(),
+    }
+}
+
 fn user() -> String {
     std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
 }
@@ -312,26 +318,18 @@
             host: String::new(),
             revision: u64::MAX,
         });
-        let lost = |_| Error::NoAnswer {
-            hint: String::new(),
-        };
-        let mut call = self.pool.call(&leader, follow).await.map_err(lost)?;
+        let follow = self.pool.call(&leader, follow).await;
+        let mut call = follow.map_err(|_| no_answer())?;
         let mut catalog = Catalog::default();
         loop {
             let next = timeout(ASK_TIMEOUT, call.next()).await;
-            match next
-                .map_err(|_| Error::NoAnswer {
-                    hint: String::new(),
-                })?
-                .map_err(lost)?
-            {
-                Some(Body::Update(update)) => {
-                    catalog.restore(&update.items, update.revision);
-                    if update.complete {
-                        return Ok(catalog);
-                    }
-                }
-                _ => return NoAnswerSnafu { hint: "" }.fail(),
+            let Ok(Ok(Some(Body::Update(mut update)))) = next else {
+                return Err(no_answer());
+            };
+            let items = update.take_items().map_err(|_| no_answer())?;
+            catalog.restore(&items, update.revision);
+            if update.complete {
+                return Ok(catalog);
             }
         }
     }
