--- a/crates/tanagershift/src/holder/driver.rs
+++ b/crates/tanagershift/src/holder/driver.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 use tokio::{
-    sync::mpsc,
+    sync::{Notify, mpsc},
     time::{Instant, sleep, timeout_at},
 };
 
@@ -96,6 +96,8 @@
     metrics: Metrics,
     seed: u64,
     share: Mutex<Share>,
+    /// Asks for a heartbeat at once.
+    news: Arc<Notify>,
     held: Mutex<BTreeMap<id::Upstream, Held>>,
 }
 
@@ -125,6 +127,7 @@
             leader,
             metrics,
             seed,
+            news: Arc::default(),
             share: Mutex::new(Share {
                 interval,
                 next: Instant::now() + interval,
@@ -136,6 +139,17 @@
         }
     }
 
+    /// Wakes when something should be told to the leader before the next heartbeat is due.
+    pub fn news(&self) -> Arc<Notify> {
+        self.shared.news.clone()
+    }
+
+    /// Whether a replica is held under an epoch.
+    pub fn holds(&self, replica: &str, epoch: id::Epoch) -> bool {
+        let held = self.lock();
+        held.get(replica).is_some_and(|held| held.epoch == epoch)
+    }
+
     /// Replicas held.
     pub fn count(&self) -> usize {
         self.lock().len()
@@ -354,7 +368,10 @@
             return false;
         }
         if self.releasing && self.replica.holds_lease(now) {
-            self.returned.store(1, Ordering::Release);
+            let known = self.returned.swap(1, Ordering::AcqRel);
+            if known == 0 {
+                self.shared.news.notify_one();
+            }
         }
         !self.replica.holds_lease(now) && !self.is_granted()
     }
--- a/crates/tanagershift/src/holder/mod.rs
+++ b/crates/tanagershift/src/holder/mod.rs
@@ -1,6 +1,7 @@
 //! The duty of a holder: the only one that gives a replica orders and adapter requests.
 //!
 //! * `replica`: decisions for one replica.
+//! * `heat`: how often each adapter is asked for.
 //! * `engine`: the engine's published interfaces.
 //! * `answer`: checks that an answer is the one that was asked for.
 //! * `driver`: input and output.
@@ -8,6 +9,7 @@
 pub mod answer;
 pub mod driver;
 pub mod engine;
+pub mod heat;
 pub mod replica;
 #[cfg(test)]
 mod tests;
--- a/crates/tanagershift/src/holder/replica.rs
+++ b/crates/tanagershift/src/holder/replica.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
-use super::Config;
+use super::{Config, heat::Heat};
 use crate::id;
 
 /// First pause after a load that failed.
@@ -180,6 +180,7 @@
     waiting: VecDeque<Waiting>,
     running: BTreeMap<Ticket, Running>,
     failures: BTreeMap<Target, Failure>,
+    heat: Heat,
     asked: usize,
     orders: usize,
     /// Loads ordered under this epoch; makes each name unique.
@@ -202,6 +203,7 @@
             waiting: VecDeque::new(),
             running: BTreeMap::new(),
             failures: BTreeMap::new(),
+            heat: Heat::default(),
             asked: 0,
             orders: 0,
             loads: 0,
@@ -350,6 +352,7 @@
                 retry_after,
             }];
         }
+        self.heat.add(&request.target, now);
         let waiting = Waiting {
             request,
             since: now,
@@ -646,8 +649,12 @@
             .iter()
             .filter(|(_, slot)| slot.loaded && slot.pins == 0 && now >= slot.keep)
             .filter(|(target, _)| !needed(target));
-        let oldest = idle.min_by_key(|(_, slot)| slot.used)?;
-        Some(Some(oldest.1.name.clone()))
+        let rank = |target: &Target, slot: &Slot| (self.heat.value(target, now), slot.used);
+        let coldest = idle.min_by(|left, right| {
+            let (left, right) = (rank(left.0, left.1), rank(right.0, right.1));
+            left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
+        })?;
+        Some(Some(coldest.1.name.clone()))
     }
 
     fn ask_permits(&mut self, actions: &mut Vec<Action>, now: Instant) {
