holder: load first what has waited longest in total

Cause: with the store's rate used up, loading by the oldest request serves one request of a cold adapter before ten of a warmer one. What: adapters that are missing are ranked by priority, then by the time that their requests have waited together.

--- a/crates/tanagershift/src/holder/replica.rs
+++ b/crates/tanagershift/src/holder/replica.rs
@@ -1,6 +1,7 @@
 //! Decisions of a holder for one replica: queue, loads, unloads and pins.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, VecDeque},
     time::Duration,
 };
@@ -160,6 +161,20 @@
     since: Instant,
 }
 
+/// A target that requests wait for and that nobody loads.
+#[derive(Debug)]
+struct Wanted {
+    target: Target,
+    /// Highest priority of its requests.
+    priority: i32,
+    /// When the first of them came.
+    oldest: Instant,
+    /// How many they are.
+    waiting: u64,
+    /// Time that they have waited together.
+    total: Duration,
+}
+
 /// Loads of one version that failed in a row.
 #[derive(Clone, Debug)]
 struct Failure {
@@ -505,6 +520,7 @@
             return self.advance(now);
         };
         let wanted = self.wanted(now).into_iter().next();
+        let wanted = wanted.map(|wanted| wanted.target);
         let room = self.room(now);
         let (Some(target), Some(evict), true) = (wanted, room, self.holds_lease(now)) else {
             return vec![Action::ReleasePermit { permit }];
@@ -608,28 +624,36 @@
         })
     }
 
-    /// Targets that requests wait for and that nobody loads, the most urgent first.
-    fn wanted(&self, now: Instant) -> Vec<Target> {
-        let mut urgency: BTreeMap<&Target, (i32, Instant)> = BTreeMap::new();
+    /// Targets that requests wait for and that nobody loads, the most urgent first: by priority,
+    /// then by the time that their requests have waited together.
+    fn wanted(&self, now: Instant) -> Vec<Wanted> {
+        let mut by_target: BTreeMap<&Target, Wanted> = BTreeMap::new();
         for waiting in &self.waiting {
             let target = &waiting.request.target;
-            let paused = self
-                .failures
-                .get(target)
-                .is_some_and(|failure| now < failure.until);
-            if self.slots.contains_key(target) || paused {
+            if self.slots.contains_key(target) || self.is_paused(target, now) {
                 continue;
             }
-            let urgent = (-waiting.request.priority, waiting.since);
-            let known = urgency.entry(target).or_insert(urgent);
-            *known = urgent.min(*known);
+            let wanted = by_target.entry(target).or_insert_with(|| Wanted {
+                target: target.clone(),
+                priority: i32::MIN,
+                oldest: now,
+                waiting: 0,
+                total: Duration::ZERO,
+            });
+            wanted.priority = wanted.priority.max(waiting.request.priority);
+            wanted.oldest = wanted.oldest.min(waiting.since);
+            wanted.waiting += 1;
+            wanted.total += now.duration_since(waiting.since);
         }
-        let mut wanted: Vec<_> = urgency.into_iter().collect();
-        wanted.sort_by_key(|(_, urgent)| *urgent);
+        let mut wanted: Vec<Wanted> = by_target.into_values().collect();
+        wanted.sort_by_key(|wanted| Reverse((wanted.priority, wanted.total)));
         wanted
-            .into_iter()
-            .map(|(target, _)| target.clone())
-            .collect()
+    }
+
+    /// Whether loads of a target have failed, and the next try is not due yet.
+    fn is_paused(&self, target: &Target, now: Instant) -> bool {
+        let failure = self.failures.get(target);
+        failure.is_some_and(|failure| now < failure.until)
     }
 
     /// Room for one more adapter: a free slot, or the name of one to be unloaded.
@@ -667,15 +691,10 @@
         if self.asked >= most || self.room(now).is_none() {
             return;
         }
-        let missing = |waiting: &&Waiting| wanted.contains(&waiting.request.target);
-        let oldest = self
-            .waiting
-            .iter()
-            .filter(missing)
-            .map(|waiting| waiting.since)
-            .min();
+        // All that is missing counts: a permit goes to whatever is most urgent when it comes.
+        let oldest = wanted.iter().map(|wanted| wanted.oldest).min();
         let waited = oldest.map_or(Duration::ZERO, |since| now.duration_since(since));
-        let waiting = self.waiting.iter().filter(missing).count() as u64;
+        let waiting = wanted.iter().map(|wanted| wanted.waiting).sum();
         while self.asked < most {
             self.asked += 1;
             actions.push(Action::AskPermit { waited, waiting });
