Guards of the log in their smallest cases; the leader's cost by number of hosts

Cause: 25 guards were broken one by one on a scratch copy. Seven broken guards failed no test: no vote while a leader was heard (also after a restart), commit by counting own entries only, one membership change at a time, a change id that is in the log twice, and two that another guard covers. What: a test for each of the first five in the smallest case; measure scale beats and follows as N hosts do.

--- a/crates/proofs/src/bin/measure.rs
+++ b/crates/proofs/src/bin/measure.rs
@@ -1,6 +1,9 @@
 //! Measures the real programs on loopback; `docs/MEASUREMENTS.md` holds what it printed.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 use argh::FromArgs;
 use hyper::Method;
@@ -8,13 +11,14 @@
     process::usage,
     site::{Plan, Site},
 };
+use prost::Message;
 use serde_json::{Value, json};
 use standins::load;
 use tanagershift::{
     follower::Leader,
     link::{Greeting, Pool},
     voter::state::{Claim, Command, Order},
-    wire::Body,
+    wire::{Body, Follow, Heartbeat, Query},
 };
 use tokio::{task::JoinSet, time::sleep};
 
@@ -25,10 +29,15 @@
 /// Requests a second of plain calls.
 const PLAIN_RATE: f64 = 2000.0;
 
+/// Time between two heartbeats of a host.
+const BEAT: Duration = Duration::from_millis(400);
+/// Bytes around a message: length, stream and kind, and the headers of TCP and IP both ways.
+const FRAME_OVERHEAD: usize = 4 + 8 + 2 * 52;
+
 /// Measure the real programs on loopback.
 #[derive(FromArgs)]
 struct Arguments {
-    /// what: hop, plain, memory, in-force, leader, holder, commits, restart
+    /// what: hop, plain, memory, in-force, leader, holder, commits, restart, scale
     #[argh(positional)]
     what: String,
     /// seconds of each load
@@ -40,6 +49,12 @@
     /// voters
     #[argh(option, default = "3")]
     voters: usize,
+    /// hosts that beat and follow (scale)
+    #[argh(option, default = "11")]
+    hosts: usize,
+    /// replicas that are listed (scale)
+    #[argh(option, default = "18")]
+    replicas: usize,
     /// rounds of a failure, or of a publish
     #[argh(option, default = "10")]
     rounds: usize,
@@ -63,6 +78,7 @@
         "holder" => holder(&arguments).await,
         "commits" => commits(&arguments).await,
         "restart" => restart(&arguments).await,
+        "scale" => scale(&arguments).await,
         other => panic!("unknown measurement `{other}`"),
     };
     println!("{report:#}");
@@ -475,3 +491,112 @@
         "start_to_accepted": quantiles(times),
     })
 }
+
+/// Processor time and traffic of the leader by the number of hosts that beat and follow.
+async fn scale(arguments: &Arguments) -> Value {
+    let site = Site::start(Plan {
+        entries: 0,
+        engines: 0,
+        services: 0,
+        paper_engines: arguments.replicas,
+        ..Plan::default()
+    })
+    .await;
+    let second = Duration::from_secs(1);
+    let mut hosts = JoinSet::new();
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let until = Instant::now() + second * (arguments.seconds as u32 + 20);
+    for number in 0..arguments.hosts {
+        let leader = group(&site);
+        let follower = group(&site);
+        let seen = seen.clone();
+        hosts.spawn(async move { beat_until(leader, number, until).await });
+        tokio::spawn(async move { follow(follower, number, &seen).await });
+    }
+    sleep(second * 10).await;
+    let leads = site.leader().expect("a leader is known");
+    let before = usage(site.id(&leads)).processor;
+    sleep(second * arguments.seconds as u32).await;
+    let used = usage(site.id(&leads)).processor - before;
+    let held = site.report(&["replicas"]);
+    let held = held.as_array().into_iter().flatten();
+    let held = held.filter(|replica| replica["holder"].is_string()).count();
+    site.write_files(&[("late.ini", "[intent]\nname = late\ntarget = plan@1\n")]);
+    let output = site.ctl(&["publish", "FILES"]);
+    assert!(output.status.success(), "{output:?}");
+    let accepted = Instant::now();
+    sleep(second * 2).await;
+    let last = seen.lock().expect("nobody panicked").iter().copied().max();
+    let mut bytes = 0;
+    let mut beats = 0;
+    while let Some(host) = hosts.join_next().await {
+        let (more_bytes, more_beats) = host.expect("a host does not panic");
+        bytes += more_bytes;
+        beats += more_beats;
+    }
+    let per_host = bytes as f64 / beats.max(1) as f64 / BEAT.as_secs_f64();
+    json!({
+        "hosts": arguments.hosts,
+        "replicas": arguments.replicas,
+        "replicas_held": held,
+        "leader_percent_of_a_core": used.as_secs_f64() / arguments.seconds as f64 * 100.0,
+        "leader_mib": usage(site.id(&leads)).memory_mib.round(),
+        "heartbeat_bytes_per_host_second": per_host.round(),
+        "accepted_to_last_host_ms": last.map(|last: Instant| {
+            last.saturating_duration_since(accepted).as_secs_f64() * 1000.0
+        }),
+        "hosts_that_saw_it": seen.lock().expect("nobody panicked").len(),
+    })
+}
+
+/// Beats as a host does that holds replicas; returns bytes exchanged and beats.
+async fn beat_until(leader: Leader, number: usize, until: Instant) -> (usize, usize) {
+    let (mut bytes, mut beats) = (0, 0);
+    sleep(BEAT.mul_f64(number as f64 / 97.0 % 1.0)).await;
+    while Instant::now() < until {
+        let sent = Instant::now();
+        let beat = Heartbeat {
+            host: format!("host-{number:04}"),
+            zone: ["a", "b", "c"][number % 3].to_owned(),
+            address: "127.0.0.1:9".to_owned(),
+            session: number as u64 + 1,
+            holds: true,
+            ..Heartbeat::default()
+        };
+        bytes += beat.encoded_len() + FRAME_OVERHEAD;
+        let answer = leader.ask(Body::Heartbeat(beat), BEAT * 5, BEAT * 2).await;
+        if let Ok(Body::Lease(lease)) = answer {
+            bytes += lease.encoded_len() + FRAME_OVERHEAD;
+            beats += 1;
+        }
+        sleep(BEAT.saturating_sub(sent.elapsed())).await;
+    }
+    (bytes, beats)
+}
+
+/// Follows the configuration and notes when the second revision comes.
+async fn follow(leader: Leader, number: usize, seen: &Mutex<Vec<Instant>>) {
+    let query = Body::Query(Query {
+        kind: "status".to_owned(),
+        ..Query::default()
+    });
+    let second = Duration::from_secs(1);
+    // Any answer tells which voter leads.
+    let _ = leader.ask(query, second * 10, second).await;
+    let Some(address) = leader.current().borrow().clone() else {
+        return;
+    };
+    let follow = Body::Follow(Follow {
+        host: format!("host-{number:04}"),
+        revision: 0,
+    });
+    let Ok(mut call) = leader.pool().call(&address, follow).await else {
+        return;
+    };
+    while let Ok(Some(Body::Update(update))) = call.next().await {
+        if update.revision >= 2 {
+            seen.lock().expect("nobody panicked").push(Instant::now());
+            return;
+        }
+    }
+}
--- a/crates/proofs/src/site.rs
+++ b/crates/proofs/src/site.rs
@@ -66,6 +66,8 @@
     pub group: String,
     /// Milliseconds by which the platform's list lags.
     pub list_lag_ms: u64,
+    /// Engines that are listed and do not run.
+    pub paper_engines: usize,
 }
 
 impl Default for Plan {
@@ -80,6 +82,7 @@
             entry: String::new(),
             group: String::new(),
             list_lag_ms: 100,
+            paper_engines: 0,
         }
     }
 }
@@ -127,7 +130,9 @@
                 .success()
         })
         .await;
-        site.until_held().await;
+        if site.plan.entries > 0 {
+            site.until_held().await;
+        }
         site
     }
 
@@ -286,7 +291,14 @@
     }
 
     fn write_list(&self) {
-        let mut upstreams = Vec::new();
+        let mut upstreams: Vec<Value> = (0..self.plan.paper_engines)
+            .map(|number| {
+                json!({
+                    "name": format!("paper-{number:05}"), "kind": "engine", "serves": "alphorn",
+                    "zone": "a", "address": "127.0.0.1:9", "state": "live",
+                })
+            })
+            .collect();
         for (name, address) in &self.addresses {
             let (kind, serves) = match name {
                 name if name.starts_with("engine") => ("engine", "alphorn"),
--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Connections that it uses.
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
     /// Address of the leader as last known.
     pub fn current(&self) -> watch::Receiver<Option<String>> {
         self.current.subscribe()
--- /dev/null
+++ b/crates/tanagershift/src/quorum/guard_tests.rs
@@ -0,0 +1,225 @@
+//! Guards of the log's decisions, each in the smallest case that needs it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{
+    Config, Node, Refusal,
+    log::Log,
+    message::{
+        Append, Appended, Ask, Ballot, Body, Entry, Envelope, Member, Members, Snapshot, Vote,
+    },
+};
+use crate::{id, testing::cases};
+
+fn members() -> Members {
+    let member = |id| Member {
+        id,
+        host: format!("h{id}"),
+        address: String::new(),
+        voter: true,
+    };
+    Members {
+        members: (1..=3).map(member).collect(),
+    }
+}
+
+fn entry(index: id::Index, term: id::Term) -> Entry {
+    Entry {
+        index,
+        term,
+        data: Bytes::from_static(b"x"),
+        members: None,
+    }
+}
+
+fn node(entries: Vec<Entry>, term: id::Term, now: Instant) -> Node {
+    let snapshot = Snapshot {
+        members: members(),
+        ..Snapshot::default()
+    };
+    let log = Log::new(snapshot, (0, 0), entries);
+    Node::new(
+        1,
+        9,
+        Config::default(),
+        Ballot { term, vote: 0 },
+        log,
+        1,
+        now,
+    )
+}
+
+fn message(from: id::Member, term: id::Term, body: Body) -> Envelope {
+    Envelope {
+        group: 9,
+        from,
+        to: 1,
+        term,
+        body: Some(body),
+        address: String::new(),
+    }
+}
+
+fn ask(probe: bool) -> Body {
+    Body::Ask(Ask {
+        probe,
+        last_index: 9,
+        last_term: 9,
+        handover: false,
+    })
+}
+
+fn heartbeat() -> Body {
+    Body::Append(Append {
+        prev_index: 0,
+        prev_term: 0,
+        entries: Vec::new(),
+        commit: 0,
+        round: 1,
+    })
+}
+
+/// Votes that a member gives.
+fn granted(node: &mut Node) -> usize {
+    let messages = node.ready().messages;
+    let vote = |envelope: &&Envelope| {
+        matches!(envelope.body, Some(Body::Vote(Vote { granted: true, .. })))
+    };
+    messages.iter().filter(vote).count()
+}
+
+/// Asks for a vote some percent of the election time after the member heard a leader, or started.
+fn check_vote(heard: bool, probe: bool, percent: u32, expected: usize) {
+    let now = Instant::now();
+    let mut node = node(Vec::new(), 1, now);
+    if heard {
+        node.receive(message(2, 1, heartbeat()), now);
+        node.ready();
+    }
+    let later = now + Config::default().election * percent / 100;
+    node.receive(message(3, 2, ask(probe)), later);
+    assert_eq!(granted(&mut node), expected);
+    if expected == 0 {
+        assert_eq!(node.term(), 1, "a refused candidate raises no term");
+    }
+}
+
+cases! {
+    check_vote {
+        no_vote_while_a_leader_was_heard: (true, false, 90, 0);
+        no_probing_vote_while_a_leader_was_heard: (true, true, 90, 0);
+        a_vote_when_the_leader_is_silent: (true, false, 101, 1);
+        a_probing_vote_when_the_leader_is_silent: (true, true, 101, 1);
+        no_vote_right_after_a_restart: (false, false, 90, 0);
+        no_probing_vote_right_after_a_restart: (false, true, 90, 0);
+    }
+}
+
+/// Makes a member the leader of the next term.
+fn elect(node: &mut Node, now: Instant) -> Instant {
+    let later = now + Config::default().election * 3;
+    node.tick(later);
+    for probe in [true, false] {
+        let vote = Body::Vote(Vote {
+            probe,
+            granted: true,
+        });
+        let term = node.term() + u64::from(probe);
+        node.receive(message(2, term, vote), later);
+    }
+    assert!(node.leads());
+    let ready = node.ready();
+    let last = ready.entries.last().unwrap();
+    node.synced(last.index, last.term);
+    later
+}
+
+fn appended(index: id::Index) -> Body {
+    Body::Appended(Appended {
+        ok: true,
+        index,
+        round: 1,
+    })
+}
+
+#[test]
+fn entries_of_an_earlier_term_are_not_committed_by_counting() {
+    let now = Instant::now();
+    let mut node = node(vec![entry(1, 1)], 2, now);
+    let now = elect(&mut node, now);
+    node.receive(message(2, node.term(), appended(1)), now);
+    assert_eq!(node.commit(), 0, "a later leader may still replace entry 1");
+    node.receive(message(2, node.term(), appended(2)), now);
+    assert_eq!(node.commit(), 2, "the own entry commits both");
+}
+
+#[test]
+fn a_leader_serves_nobody_before_it_has_committed_an_entry_of_its_term() {
+    let now = Instant::now();
+    let mut node = node(vec![entry(1, 1)], 2, now);
+    let now = elect(&mut node, now);
+    assert!(!node.holds_lease(now));
+    assert_eq!(
+        node.propose(Bytes::from_static(b"y")),
+        Err(Refusal::NotReady)
+    );
+    node.receive(message(2, node.term(), appended(2)), now);
+    assert!(node.holds_lease(now));
+    assert!(node.propose(Bytes::from_static(b"y")).is_ok());
+}
+
+#[test]
+fn membership_changes_one_at_a_time() {
+    let now = Instant::now();
+    let mut node = node(Vec::new(), 1, now);
+    let now = elect(&mut node, now);
+    node.receive(message(2, node.term(), appended(1)), now);
+    let member = |id| Member {
+        id,
+        host: format!("h{id}"),
+        address: String::new(),
+        voter: false,
+    };
+    assert!(node.add_member(member(4)).is_ok());
+    assert_eq!(node.add_member(member(5)), Err(Refusal::Busy));
+    assert_eq!(node.remove_member(2), Err(Refusal::Busy));
+}
+
+#[test]
+fn a_lease_ends_before_others_may_vote() {
+    let now = Instant::now();
+    let mut node = node(Vec::new(), 1, now);
+    let now = elect(&mut node, now);
+    node.receive(message(2, node.term(), appended(1)), now);
+    let config = Config::default();
+    let until = node.lease().unwrap();
+    // The slowest clock that is allowed, against the fastest.
+    let longest = until
+        .duration_since(now)
+        .mul_f64(1.0 + f64::from(config.drift_percent) / 200.0);
+    let shortest = config
+        .election
+        .mul_f64(1.0 - f64::from(config.drift_percent) / 200.0);
+    assert!(longest <= shortest, "{longest:?} against {shortest:?}");
+}
+
+#[test]
+fn messages_for_another_identity_or_group_are_dropped() {
+    let now = Instant::now();
+    let mut node = node(Vec::new(), 1, now);
+    let later = now + Duration::from_secs(9);
+    let stranger = Envelope {
+        to: 7,
+        ..message(3, 5, ask(false))
+    };
+    let elsewhere = Envelope {
+        group: 8,
+        ..message(3, 5, ask(false))
+    };
+    node.receive(stranger, later);
+    node.receive(elsewhere, later);
+    assert_eq!((granted(&mut node), node.term()), (0, 1));
+}
--- a/crates/tanagershift/src/quorum/mod.rs
+++ b/crates/tanagershift/src/quorum/mod.rs
@@ -11,6 +11,8 @@
 pub mod disk;
 #[cfg(test)]
 mod disk_tests;
+#[cfg(test)]
+mod guard_tests;
 pub mod log;
 pub mod message;
 pub mod node;
