voter: a change set that is in the log twice is applied once (test)

Cause: the answer to a change id is looked up before the log and again when the entry is applied; only the first look had a test. What: applies one command twice with another change between. Before: breaking the second look failed nothing.

--- a/crates/tanagershift/src/voter/tests.rs
+++ b/crates/tanagershift/src/voter/tests.rs
@@ -121,6 +121,21 @@
     assert_eq!((again.revision, again.changed), (1, true));
 }
 
+#[test]
+fn a_change_that_is_in_the_log_twice_is_applied_once() {
+    let mut state = published();
+    let change = ChangeSet {
+        id: "late".to_owned(),
+        items: vec![intent("plan", "a", 1), version("a", 2, "w/2")],
+        ..ChangeSet::default()
+    };
+    let command = Command::of(Order::Publish(change));
+    let first = state.apply(&command);
+    publish(&mut state, "between", 0, vec![intent("plan", "a", 2)]);
+    assert_eq!(state.apply(&command), first);
+    assert_eq!(state.catalog().intent("plan").unwrap().version, 2);
+}
+
 #[test]
 fn a_refused_change_resent_is_refused_with_the_same_words() {
     let mut state = published();
