voter: index assignments by host (a try)

Cause, as supposed: each heartbeat walks all assignments twice, 1500 of them 825 times a second at 330 hosts, and the leader takes 12% of a core. What: replicas by host, kept with the assignments.

--- a/crates/tanagershift/src/voter/lease.rs
+++ b/crates/tanagershift/src/voter/lease.rs
@@ -124,9 +124,7 @@
         self.hosts.insert(beat.host.clone(), live);
         let moving = self.surplus(&beat.host, state, now);
         let mine = |assignment: &&Assignment| {
-            assignment.host == beat.host
-                && assignment.session == session
-                && !self.returned.contains(&assignment.epoch)
+            assignment.session == session && !self.returned.contains(&assignment.epoch)
         };
         let grant = |assignment: &Assignment| Grant {
             replica: assignment.replica.clone(),
@@ -136,12 +134,7 @@
         };
         Lease {
             millis: self.config.lease.as_millis() as u64,
-            grants: state
-                .assignments()
-                .values()
-                .filter(mine)
-                .map(grant)
-                .collect(),
+            grants: state.held_by(&beat.host).filter(mine).map(grant).collect(),
             revision: state.catalog().revision(),
             holders: self.holders(now).count() as u32,
         }
@@ -156,8 +149,7 @@
     fn surplus(&self, host: &str, state: &State, now: Instant) -> BTreeSet<id::Upstream> {
         let count = self.holders(now).count().max(1);
         let fair = state.assignments().len().div_ceil(count);
-        let held = state.assignments().values();
-        let held = held.filter(|assignment| assignment.host == host);
+        let held = state.held_by(host);
         held.skip(fair)
             .map(|assignment| assignment.replica.clone())
             .collect()
--- a/crates/tanagershift/src/voter/report.rs
+++ b/crates/tanagershift/src/voter/report.rs
@@ -53,8 +53,7 @@
             "holds": live.holds,
             "revision": live.revision,
             "in_force": live.revision >= revision,
-            "replicas": view.state.assignments().values()
-                .filter(|assignment| assignment.host == *name).count(),
+            "replicas": view.state.held_by(name).count(),
         })
     };
     let member = |member: &crate::quorum::message::Member| {
