Revert "voter: index assignments by host (a try)"

Ruled out by it: the walk over the assignments as the leader's main cost. Conclusion: reverted. Fewer heartbeats (longer leases, or one relay a zone) are what is left to try; see docs/CAPACITY.md.

--- a/crates/tanagershift/src/voter/lease.rs
+++ b/crates/tanagershift/src/voter/lease.rs
@@ -124,7 +124,9 @@
         self.hosts.insert(beat.host.clone(), live);
         let moving = self.surplus(&beat.host, state, now);
         let mine = |assignment: &&Assignment| {
-            assignment.session == session && !self.returned.contains(&assignment.epoch)
+            assignment.host == beat.host
+                && assignment.session == session
+                && !self.returned.contains(&assignment.epoch)
         };
         let grant = |assignment: &Assignment| Grant {
             replica: assignment.replica.clone(),
@@ -134,7 +136,12 @@
         };
         Lease {
             millis: self.config.lease.as_millis() as u64,
-            grants: state.held_by(&beat.host).filter(mine).map(grant).collect(),
+            grants: state
+                .assignments()
+                .values()
+                .filter(mine)
+                .map(grant)
+                .collect(),
             revision: state.catalog().revision(),
             holders: self.holders(now).count() as u32,
         }
@@ -149,7 +156,8 @@
     fn surplus(&self, host: &str, state: &State, now: Instant) -> BTreeSet<id::Upstream> {
         let count = self.holders(now).count().max(1);
         let fair = state.assignments().len().div_ceil(count);
-        let held = state.held_by(host);
+        let held = state.assignments().values();
+        let held = held.filter(|assignment| assignment.host == host);
         held.skip(fair)
             .map(|assignment| assignment.replica.clone())
             .collect()
--- a/crates/tanagershift/src/voter/report.rs
+++ b/crates/tanagershift/src/voter/report.rs
@@ -53,7 +53,8 @@
             "holds": live.holds,
             "revision": live.revision,
             "in_force": live.revision >= revision,
-            "replicas": view.state.held_by(name).count(),
+            "replicas": view.state.assignments().values()
+                .filter(|assignment| assignment.host == *name).count(),
         })
     };
     let member = |member: &crate::quorum::message::Member| {
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -369,8 +369,6 @@
     catalog: Catalog,
     changes: VecDeque<Change>,
     assignments: BTreeMap<id::Upstream, Assignment>,
-    /// Replicas by the host that holds them.
-    held: BTreeMap<id::Host, BTreeSet<id::Upstream>>,
     epoch: id::Epoch,
     claims: BTreeMap<String, Claiming>,
     claim_order: VecDeque<(u64, String)>,
@@ -391,12 +389,6 @@
         &self.assignments
     }
 
-    /// Assignments of one host, in order of the replicas.
-    pub fn held_by(&self, host: &str) -> impl Iterator<Item = &Assignment> {
-        let replicas = self.held.get(host).into_iter().flatten();
-        replicas.filter_map(|replica| self.assignments.get(replica))
-    }
-
     /// Hosts that operators have taken out of service.
     pub fn drained(&self) -> &BTreeSet<id::Host> {
         &self.drained
@@ -558,10 +550,8 @@
 
     fn assign(&mut self, step: &Move) {
         self.epoch += 1;
-        if let Some(old) = self.assignments.remove(&step.replica) {
-            self.unhold(&old);
-        }
         if step.host.is_empty() {
+            self.assignments.remove(&step.replica);
             return;
         }
         let assignment = Assignment {
@@ -572,24 +562,7 @@
             clean: step.clean,
             address: step.address.clone(),
         };
-        self.hold(assignment);
-    }
-
-    fn hold(&mut self, assignment: Assignment) {
-        let held = self.held.entry(assignment.host.clone()).or_default();
-        held.insert(assignment.replica.clone());
-        self.assignments
-            .insert(assignment.replica.clone(), assignment);
-    }
-
-    fn unhold(&mut self, old: &Assignment) {
-        let Some(held) = self.held.get_mut(&old.host) else {
-            return;
-        };
-        held.remove(&old.replica);
-        if held.is_empty() {
-            self.held.remove(&old.host);
-        }
+        self.assignments.insert(step.replica.clone(), assignment);
     }
 
     fn claim(&mut self, claim: &Claim) -> Claimed {
@@ -710,7 +683,9 @@
         }
         state.catalog.restore(&[], image.revision);
         for assignment in image.assignments {
-            state.hold(assignment);
+            state
+                .assignments
+                .insert(assignment.replica.clone(), assignment);
         }
         for claiming in image.claims {
             let key = claiming.claim.key.clone();
