entry: spread an adapter over more homes as more of its requests are open

Cause: an adapter had one home, and any adapter left it when the home was twice as busy as its batch. Beside it, an entry never learned a replica's load from an answer, only from refusals. What: homes follow the open requests of the adapter (one more for each three quarters of a batch, over all entries); a cold adapter stays at home up to four batches of load; the head of an answer carries the replica's load.

--- a/crates/tanagershift/src/entry/completion.rs
+++ b/crates/tanagershift/src/entry/completion.rs
@@ -18,6 +18,7 @@
 use super::{
     reply::{self, Cut, Failure, TARGET_HEADER},
     retry::may_repeat,
+    route::Spread,
     server::{Call, Entry},
 };
 use crate::{
@@ -48,6 +49,28 @@
     limit: Duration,
 }
 
+/// A request that is open for an adapter; it ends when this is dropped.
+struct Using {
+    entry: Arc<Entry>,
+    adapter: String,
+}
+
+impl Using {
+    fn begin(entry: Arc<Entry>, adapter: &str) -> Self {
+        entry.table().begin_adapter(adapter);
+        Self {
+            entry,
+            adapter: adapter.to_owned(),
+        }
+    }
+}
+
+impl Drop for Using {
+    fn drop(&mut self) {
+        self.entry.table().end_adapter(&self.adapter);
+    }
+}
+
 /// How one attempt ended without an answer.
 #[derive(Debug)]
 struct Attempt {
@@ -71,6 +94,7 @@
 pub async fn answer(entry: Arc<Entry>, call: Call) -> Result<Response<reply::Body>, Failure> {
     let target = resolve(&entry, &call)?;
     let deadline = call.came + target.limit;
+    let using = Using::begin(entry.clone(), &target.serve.adapter);
     entry.budget().earn();
     let begun = match timeout_at(deadline, search(&entry, &call, &target, deadline)).await {
         Ok(begun) => begun?,
@@ -86,7 +110,7 @@
     let streamed = content_type.starts_with("text/event-stream");
     let mut response = if streamed {
         // Whether it ran to its end is only known at the end.
-        Response::new(pass(entry.clone(), begun, deadline))
+        Response::new(pass(entry.clone(), begun, deadline, using))
     } else {
         let body = timeout_at(deadline, collect(begun)).await;
         let body = body.unwrap_or_else(|_| Err("the deadline passed".to_owned()));
@@ -227,11 +251,14 @@
 fn candidates(entry: &Entry, target: &Target) -> Vec<(String, String)> {
     let list = entry.host.list.borrow().clone();
     let routes = entry.host.routes();
-    let busy = entry.host.settings.holder.batch as u32 * 2;
+    let spread = Spread {
+        batch: entry.host.settings.holder.batch as u32,
+        entries: entry.host.holder.holders(),
+    };
     let mut table = entry.table();
     table.prune(&list);
     let adapter = &target.serve.adapter;
-    let ranked = table.replicas(&list, &target.base, adapter, busy, Instant::now());
+    let ranked = table.replicas(&list, &target.base, adapter, spread, Instant::now());
     let held = ranked.into_iter().filter_map(|replica| {
         let route = routes.get(&replica.name)?;
         Some((replica.name.clone(), route.address.clone()))
@@ -283,7 +310,10 @@
     let call = entry.host.pool.call(address, Body::Serve(serve)).await;
     let mut stream = call.map_err(|error| (broken(Verdict::NotRun, error.to_string()), None))?;
     match stream.next().await {
-        Ok(Some(Body::Head(head))) => Ok((Begun { head, stream }, None)),
+        Ok(Some(Body::Head(head))) => {
+            let load = head.load;
+            Ok((Begun { head, stream }, Some(load)))
+        }
         Ok(Some(Body::Failed(failed))) => {
             let load = failed.load;
             Err((refused(failed), Some(load)))
@@ -320,11 +350,11 @@
 }
 
 /// Hands a streamed answer on; the caller's going away cancels it.
-fn pass(entry: Arc<Entry>, begun: Begun, deadline: Instant) -> reply::Body {
+fn pass(entry: Arc<Entry>, begun: Begun, deadline: Instant, using: Using) -> reply::Body {
     let (sender, receiver) = mpsc::channel(PARTS);
     let open = entry.host.metrics.open();
     tokio::spawn(async move {
-        let _open = open;
+        let _guards = (open, using);
         let count = |verdict| entry.host.metrics.request("completion", verdict);
         let pump = pump(begun, &sender);
         let outcome = tokio::select! {
--- a/crates/tanagershift/src/entry/route.rs
+++ b/crates/tanagershift/src/entry/route.rs
@@ -3,7 +3,11 @@
 //! Replicas are ranked by rendezvous hashing ("Using Name-Based Mappings to Increase Hit Rates",
 //! Thaler and Ravishankar, 1998), so that every entry ranks them alike without a shared table.
 
-use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use sha2::{Digest, Sha256};
 use tokio::time::Instant;
@@ -15,6 +19,10 @@
 
 /// Age at which a reported load says nothing any more.
 const LOAD_AGE: Duration = Duration::from_secs(2);
+/// Batches of load at which an adapter leaves its homes.
+const SPILL: u32 = 4;
+/// Steps of load within one batch that count as different.
+const LOAD_STEPS: u32 = 4;
 /// First pause after an upstream could not be reached.
 const EJECT_MIN: Duration = Duration::from_millis(500);
 /// Longest pause after an upstream could not be reached.
@@ -22,6 +30,15 @@
 /// Doublings of the pause.
 const EJECT_DOUBLINGS: u32 = 5;
 
+/// What the spreading of adapters over replicas goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spread {
+    /// Requests that a replica runs at once.
+    pub batch: u32,
+    /// Entries that share the requests.
+    pub entries: u32,
+}
+
 /// What this entry has seen of one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
@@ -39,6 +56,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     seen: BTreeMap<id::Upstream, Seen>,
+    /// Open requests by adapter.
+    adapters: BTreeMap<String, u32>,
 }
 
 impl Table {
@@ -108,14 +127,14 @@
 
     /// Replicas of a base model for an adapter, the best first.
     ///
-    /// The adapter's home comes first. When it is busier than `busy`, the next one that is not
-    /// comes before it.
+    /// An adapter has one home, and more as more of its requests are open. Its homes come first,
+    /// the least busy before the others; when they are far too busy, replicas with room follow.
     pub fn replicas<'a>(
         &self,
         listed: &'a [Upstream],
         base: &str,
         adapter: &str,
-        busy: u32,
+        spread: Spread,
         now: Instant,
     ) -> Vec<&'a Upstream> {
         let mut ranked: Vec<_> = listed
@@ -125,13 +144,54 @@
             .map(|one| (weight(adapter, &one.name), one))
             .collect();
         ranked.sort_by_key(|(weight, _)| Reverse(*weight));
-        let ranked = ranked.into_iter().map(|(_, one)| one).collect();
+        let ranked: Vec<_> = ranked.into_iter().map(|(_, one)| one).collect();
+        let homes = self.homes(adapter, spread);
+        let is_home: BTreeSet<&str> = ranked.iter().take(homes).map(|one| &*one.name).collect();
         let mut ranked = self.demote_ejected(ranked, now);
-        let is_busy = |one: &&Upstream| self.load(&one.name, now) >= busy;
-        ranked.sort_by_key(is_busy);
+        let batch = spread.batch.max(1);
+        ranked.sort_by_key(|one| {
+            let load = self.load(&one.name, now);
+            let ejected = self.is_ejected(&one.name, now);
+            match is_home.contains(&*one.name) {
+                // Among homes, small differences in load say nothing.
+                true if load < batch * SPILL && !ejected => (0, load * LOAD_STEPS / batch),
+                false if load < batch && !ejected => (1, 0),
+                true => (2, load),
+                false => (3, load),
+            }
+        });
         ranked
     }
 
+    /// Replicas that an adapter is spread over: one, and one more for each three quarters of a
+    /// batch that all entries together have open.
+    ///
+    /// This entry sees its own share only; one open request is no sign of more elsewhere.
+    fn homes(&self, adapter: &str, spread: Spread) -> usize {
+        let open = self.adapters.get(adapter).copied().unwrap_or(0);
+        let open = if spread.entries > 1 {
+            open.saturating_sub(1) * spread.entries
+        } else {
+            open
+        };
+        1 + (open / (spread.batch * 3 / 4).max(1)) as usize
+    }
+
+    /// Takes note of a request for an adapter.
+    pub fn begin_adapter(&mut self, adapter: &str) {
+        *self.adapters.entry(adapter.to_owned()).or_default() += 1;
+    }
+
+    /// Takes note of a request for an adapter that ended.
+    pub fn end_adapter(&mut self, adapter: &str) {
+        if let Some(open) = self.adapters.get_mut(adapter) {
+            *open = open.saturating_sub(1);
+            if *open == 0 {
+                self.adapters.remove(adapter);
+            }
+        }
+    }
+
     /// Hosts of a plain service, the best first: least load, own zone, then by name.
     pub fn services<'a>(
         &self,
--- a/crates/tanagershift/src/entry/tests.rs
+++ b/crates/tanagershift/src/entry/tests.rs
@@ -6,7 +6,7 @@
 
 use super::{
     retry::{Budget, may_repeat},
-    route::Table,
+    route::{Spread, Table},
 };
 use crate::{
     platform::{Kind, Standing, Upstream},
@@ -14,6 +14,12 @@
     verdict::Verdict,
 };
 
+/// One entry before engines that run eight requests at once.
+const ALONE: Spread = Spread {
+    batch: 8,
+    entries: 1,
+};
+
 fn engines(count: usize) -> Vec<Upstream> {
     let engine = |number: usize| Upstream {
         name: format!("engine-{number:02}"),
@@ -27,7 +33,7 @@
 }
 
 fn home(table: &Table, listed: &[Upstream], adapter: &str, now: Instant) -> String {
-    table.replicas(listed, "base", adapter, 8, now)[0]
+    table.replicas(listed, "base", adapter, ALONE, now)[0]
         .name
         .clone()
 }
@@ -70,7 +76,7 @@
     let mut listed = engines(4);
     listed[2].serves = "other".to_owned();
     let table = Table::default();
-    let ranked = table.replicas(&listed, "base", "a", 8, Instant::now());
+    let ranked = table.replicas(&listed, "base", "a", ALONE, Instant::now());
     assert_eq!(ranked.len(), 3);
     assert!(ranked.iter().all(|one| one.serves == "base"));
 }
@@ -92,12 +98,12 @@
     for upstream in &listed {
         table.fail(&upstream.name, now);
     }
-    let ranked = table.replicas(&listed, "base", "a", 8, now);
+    let ranked = table.replicas(&listed, "base", "a", ALONE, now);
     assert_eq!(ranked.len(), 4, "each stays a candidate");
     let mut one = Table::default();
     let first = home(&one, &listed, "a", now);
     one.fail(&first, now);
-    let ranked = one.replicas(&listed, "base", "a", 8, now);
+    let ranked = one.replicas(&listed, "base", "a", ALONE, now);
     assert_eq!(ranked[3].name, first);
     let later = now + Duration::from_millis(600);
     assert_eq!(home(&one, &listed, "a", later), first);
@@ -149,3 +155,40 @@
         "{spent} retries for 1000 requests"
     );
 }
+
+/// Homes of an adapter of which an entry has some requests open.
+fn check_homes(open: u32, entries: u32, expected: usize) {
+    let (mut table, listed, now) = (Table::default(), engines(6), Instant::now());
+    for _ in 0..open {
+        table.begin_adapter("a");
+    }
+    let spread = Spread { entries, ..ALONE };
+    // Each home in turn is the busiest, and the request goes to the next.
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..6 {
+        let first = table.replicas(&listed, "base", "a", spread, now)[0];
+        used.insert(first.name.clone());
+        let load = 4 * u32::try_from(used.len()).unwrap();
+        table.begin(&first.name);
+        table.end(&first.name, Some(load.min(7 * 4)), now);
+    }
+    assert_eq!(used.len(), expected);
+    for _ in 0..open {
+        table.end_adapter("a");
+    }
+    assert_eq!(
+        home(&table, &listed, "b", now),
+        home(&Table::default(), &listed, "b", now)
+    );
+}
+
+cases! {
+    check_homes {
+        a_cold_adapter_has_one_home: (1, 1, 1);
+        a_warm_adapter_has_one_home: (5, 1, 1);
+        a_hot_adapter_has_two: (6, 1, 2);
+        a_hotter_one_has_three: (12, 1, 3);
+        one_request_among_many_entries_is_no_sign: (1, 11, 1);
+        two_requests_among_many_entries_are: (2, 11, 2);
+    }
+}
--- a/crates/tanagershift/src/holder/driver.rs
+++ b/crates/tanagershift/src/holder/driver.rs
@@ -95,6 +95,7 @@
     leader: Leader,
     metrics: Metrics,
     seed: u64,
+    holders: AtomicU32,
     share: Mutex<Share>,
     /// Asks for a heartbeat at once.
     news: Arc<Notify>,
@@ -127,6 +128,7 @@
             leader,
             metrics,
             seed,
+            holders: AtomicU32::new(1),
             news: Arc::default(),
             share: Mutex::new(Share {
                 interval,
@@ -197,8 +199,14 @@
         }
     }
 
+    /// Live hosts that hold replicas, as the leader last said.
+    pub fn holders(&self) -> u32 {
+        self.shared.holders.load(Ordering::Relaxed)
+    }
+
     /// Sets this host's fixed share of the store's rate by the number of holders.
     pub fn set_holders(&self, holders: u32, share: f64) {
+        self.shared.holders.store(holders, Ordering::Relaxed);
         let mut mine = self
             .shared
             .share
@@ -682,7 +690,7 @@
     } = pending;
     let run = async {
         tokio::select! {
-            outcome = run(engine, &name, &serve, &responder, stalled) => outcome,
+            outcome = run(engine, &name, &serve, &responder, stalled, load) => outcome,
             // Dropping the exchange cancels it at the engine.
             () = responder.cancelled() => Err(Ending::failed(Verdict::MayHaveRun, "cancelled")),
         }
@@ -755,6 +763,7 @@
     serve: &Serve,
     responder: &Responder,
     stalled: Duration,
+    load: u32,
 ) -> Result<(), Ending> {
     let invalid = |reason| Ending::failed(Verdict::NotRun, reason);
     let request = completion::request(&serve.body).map_err(invalid)?;
@@ -788,6 +797,7 @@
         status: status.as_u16().into(),
         content_type,
         stalled: stalled.as_millis() as u64,
+        load,
     });
     if streamed {
         return pass_stream(answer, Stream::new(check), head, responder).await;
--- a/crates/tanagershift/src/quorum/guard_tests.rs
+++ b/crates/tanagershift/src/quorum/guard_tests.rs
@@ -161,6 +161,8 @@
     let now = Instant::now();
     let mut node = node(vec![entry(1, 1)], 2, now);
     let now = elect(&mut node, now);
+    // A majority has answered, so only the missing entry stands in the way.
+    node.receive(message(2, node.term(), appended(1)), now);
     assert!(!node.holds_lease(now));
     assert_eq!(
         node.propose(Bytes::from_static(b"y")),
--- a/crates/tanagershift/src/voter/lease.rs
+++ b/crates/tanagershift/src/voter/lease.rs
@@ -174,7 +174,8 @@
         }
         match self.hosts.get(&assignment.host) {
             Some(live) if live.session == assignment.session => now >= live.until,
-            _ => now >= self.inherited,
+            // Leases of an earlier leader were waited out before the first assignment.
+            _ => true,
         }
     }
 
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -357,6 +357,9 @@
     /// Milliseconds that the request waited for its adapter.
     #[prost(uint64, tag = "3")]
     pub stalled: u64,
+    /// Requests running and waiting on the replica.
+    #[prost(uint32, tag = "4")]
+    pub load: u32,
 }
 
 /// End of a whole answer, with the load of the replica.
