--- a/crates/tanagershift/src/tests/mod.rs
+++ b/crates/tanagershift/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tables of input from outside: settings, operators' files, callers' bodies, frames.
 
 mod completion;
+mod event;
 mod operator;
 mod settings;
 mod wire;
