holder, voter: split the drivers and the state by concern

What: holder/exchange (one request on the engine), voter/command (what can be decided), voter/feed (what hosts that follow are sent), voter/join (how a folder comes to belong to a group). Moved only; no decision changed.

--- a/crates/proofs/src/bin/measure.rs
+++ b/crates/proofs/src/bin/measure.rs
@@ -17,7 +17,7 @@
 use tanagershift::{
     follower::Leader,
     link::{Greeting, Pool},
-    voter::state::{Claim, Command, Order},
+    voter::command::{Claim, Command, Order},
     wire::{Body, Follow, Heartbeat, Query},
 };
 use tokio::{task::JoinSet, time::sleep};
--- a/crates/tanagershift/src/entry/service.rs
+++ b/crates/tanagershift/src/entry/service.rs
@@ -21,7 +21,7 @@
     follower,
     holder::engine::{self, REQUEST_HEADER},
     verdict::Verdict,
-    voter::state::{Answer, Claim, Claimed, Command, Effect, Order, Outcome, Settle, Standing},
+    voter::command::{Answer, Claim, Claimed, Command, Effect, Order, Outcome, Settle, Standing},
     wire::Body,
 };
 
--- a/crates/tanagershift/src/holder/mod.rs
+++ b/crates/tanagershift/src/holder/mod.rs
@@ -4,11 +4,13 @@
 //! * `heat`: how often each adapter is asked for.
 //! * `engine`: the engine's published interfaces.
 //! * `answer`: checks that an answer is the one that was asked for.
+//! * `exchange`: one request on the engine.
 //! * `driver`: input and output.
 
 pub mod answer;
 pub mod driver;
 pub mod engine;
+pub mod exchange;
 pub mod heat;
 pub mod replica;
 #[cfg(test)]
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -16,10 +16,13 @@
 };
 
 use super::{
+    command::{Assign, Command, Effect, MemberChange, Order, Outcome},
+    feed::{catch_up, feed, pack, routes},
+    join::{identity_report, wait_for_group},
     lease::{self, Leases},
     permit::{self, Permits},
     report,
-    state::{Assign, Assignment, Command, Effect, MemberChange, Order, Outcome, State},
+    state::State,
 };
 use crate::{
     catalog::Item,
@@ -29,9 +32,9 @@
     quorum::{
         self, Node, Ready, Refusal,
         disk::{self, Disk, Identity},
-        message::{Envelope, Member, Members, Snapshot},
+        message::{Envelope, Member, Members},
     },
-    wire::{self, Body, Failure, Follow, Format, Permitted, Redirect, Route, Routes, Update},
+    wire::{Body, Failure, Follow, Permitted, Redirect, Routes, Update},
 };
 
 /// Inputs that wait for the voter.
@@ -40,8 +43,6 @@
 const BATCH: usize = 512;
 /// Messages that wait for one peer.
 const PEER_QUEUE: usize = 1024;
-/// Items in one update of the configuration.
-const UPDATE_ITEMS: usize = 5000;
 /// Updates that wait for one host that follows.
 const FOLLOWER_QUEUE: usize = 256;
 /// Bytes by which the log file grows before a snapshot is written.
@@ -92,7 +93,7 @@
 
 /// Something that happens to a voter.
 #[derive(Debug)]
-enum Input {
+pub(super) enum Input {
     /// A message of a peer or a host.
     Frame(Box<Body>, Responder),
     /// Give the leadership away; answered when done.
@@ -124,7 +125,8 @@
     }
 }
 
-fn failure(reason: impl Into<String>) -> Body {
+/// A refusal for the opener of a stream.
+pub(super) fn failure(reason: impl Into<String>) -> Body {
     Body::Error(Failure {
         reason: reason.into(),
     })
@@ -215,92 +217,6 @@
     }
 }
 
-/// Answers for a folder that belongs to no group, until it is given to one.
-async fn wait_for_group(
-    config: &Config,
-    identity: Identity,
-    queue: &mut mpsc::Receiver<Input>,
-) -> Result<Identity, Error> {
-    loop {
-        match queue.recv().await {
-            Some(Input::Frame(body, responder)) => {
-                if let Some(joined) = take_before_group(config, identity, *body, responder)? {
-                    return Ok(joined);
-                }
-            }
-            Some(Input::HandOver(done)) => {
-                let _ = done.send(());
-            }
-            // The process is ending; nothing comes any more.
-            None => std::future::pending().await,
-        }
-    }
-}
-
-/// Answers one message; returns the identity once the folder belongs to a group.
-fn take_before_group(
-    config: &Config,
-    identity: Identity,
-    body: Body,
-    responder: Responder,
-) -> Result<Option<Identity>, Error> {
-    match body {
-        Body::Query(query) if query.kind == "identity" => {
-            responder.finish_now(Body::Report(identity_report(&config.host, identity)));
-        }
-        Body::Format(format) if format.member == identity.member && format.group > 0 => {
-            let joined = join(config, identity, format)?;
-            responder.finish_now(Body::Report(identity_report(&config.host, joined)));
-            return Ok(Some(joined));
-        }
-        Body::Format(_) => responder.finish_now(failure("the group names another identity")),
-        Body::Quorum(envelope) if envelope.to == identity.member => {
-            // A leader has added this identity; its log comes with its snapshot.
-            let format = Format {
-                group: envelope.group,
-                member: identity.member,
-                members: Vec::new(),
-            };
-            return join(config, identity, format).map(Some);
-        }
-        // A responder that is dropped tells its opener to ask elsewhere.
-        _ => {}
-    }
-    Ok(None)
-}
-
-fn identity_report(host: &str, identity: Identity) -> Bytes {
-    let report = serde_json::json!({
-        "host": host,
-        "member": format!("{:016x}", identity.member),
-        "group": format!("{:016x}", identity.group),
-    });
-    report.to_string().into()
-}
-
-fn join(config: &Config, identity: Identity, format: Format) -> Result<Identity, Error> {
-    let identity = Identity {
-        group: format.group,
-        ..identity
-    };
-    let snapshot = Snapshot {
-        index: 0,
-        term: 0,
-        members: Members {
-            members: format.members,
-        },
-        data: State::default().encode(),
-    };
-    Disk::format(&config.data, identity, &snapshot)?;
-    emit!(
-        FORMATTED,
-        "member {:016x}, group {:016x}",
-        identity.member,
-        identity.group
-    );
-    Ok(identity)
-}
-
 impl Voter {
     fn open(
         config: Config,
@@ -761,89 +677,6 @@
     }
 }
 
-/// Routes of the assignments; `index` grows over all leaders.
-fn routes(state: &State, index: u64) -> Routes {
-    let route = |assignment: &Assignment| Route {
-        replica: assignment.replica.clone(),
-        host: assignment.host.clone(),
-        address: assignment.address.clone(),
-        epoch: assignment.epoch,
-    };
-    Routes {
-        index,
-        routes: state.assignments().values().map(route).collect(),
-    }
-}
-
-/// Updates that lead from a revision to the newest.
-fn catch_up(state: &State, revision: id::Revision, packed: &[Bytes]) -> Vec<Update> {
-    let newest = state.catalog().revision();
-    if let Some(recent) = state.since(revision) {
-        let update = |(revision, items): &(id::Revision, Vec<Item>)| Update {
-            complete: true,
-            revision: *revision,
-            items: items.clone(),
-            ..Update::default()
-        };
-        let mut updates: Vec<Update> = recent.map(update).collect();
-        if updates.is_empty() {
-            updates.push(Update {
-                complete: true,
-                revision: newest,
-                ..Update::default()
-            });
-        }
-        return updates;
-    }
-    let last = packed.len().saturating_sub(1);
-    let update = |(at, part): (usize, &Bytes)| Update {
-        reset: at == 0,
-        complete: at == last,
-        revision: newest,
-        packed: part.clone(),
-        ..Update::default()
-    };
-    packed.iter().enumerate().map(update).collect()
-}
-
-/// The whole configuration in parts, each encoded once for all hosts that start anew.
-fn pack(state: &State) -> Vec<Bytes> {
-    let mut parts = Vec::new();
-    let mut part = wire::Items::default();
-    for (item, _) in state.catalog().items() {
-        part.items.push(item);
-        if part.items.len() == UPDATE_ITEMS {
-            parts.push(part.encode_to_vec().into());
-            part.items.clear();
-        }
-    }
-    parts.push(part.encode_to_vec().into());
-    parts
-}
-
-/// Sends a follower what it lacks, then each update as it comes.
-async fn feed(first: Vec<Update>, mut queue: mpsc::Receiver<Update>, responder: Responder) {
-    for update in first {
-        if responder.send(Body::Update(update)).await.is_err() {
-            return;
-        }
-    }
-    loop {
-        let update = tokio::select! {
-            update = queue.recv() => update,
-            () = responder.cancelled() => None,
-        };
-        let Some(update) = update else {
-            break;
-        };
-        if responder.send(Body::Update(update)).await.is_err() {
-            return;
-        }
-    }
-    // The follower asks again, here or at another leader.
-    let _ = responder.finish(Body::Redirect(Redirect::default())).await;
-}
-
 fn describe(refusal: &Refusal) -> String {
     match refusal {
         Refusal::NotLeader => "not the leader".to_owned(),
--- /dev/null
+++ b/crates/tanagershift/src/voter/feed.rs
@@ -0,0 +1,99 @@
+//! What hosts that follow are sent: the whole configuration or what they lack, and the routes.
+
+use bytes::Bytes;
+use prost::Message;
+use tokio::sync::mpsc;
+
+use super::{command::Assignment, state::State};
+use crate::{
+    catalog::Item,
+    id,
+    link::Responder,
+    wire::{Body, Items, Redirect, Route, Routes, Update},
+};
+
+/// Items in one update of the configuration.
+const UPDATE_ITEMS: usize = 5000;
+
+/// Routes of the assignments; `index` grows over all leaders.
+pub fn routes(state: &State, index: u64) -> Routes {
+    let route = |assignment: &Assignment| Route {
+        replica: assignment.replica.clone(),
+        host: assignment.host.clone(),
+        address: assignment.address.clone(),
+        epoch: assignment.epoch,
+    };
+    Routes {
+        index,
+        routes: state.assignments().values().map(route).collect(),
+    }
+}
+
+/// Updates that lead from a revision to the newest.
+pub fn catch_up(state: &State, revision: id::Revision, packed: &[Bytes]) -> Vec<Update> {
+    let newest = state.catalog().revision();
+    if let Some(recent) = state.since(revision) {
+        let update = |(revision, items): &(id::Revision, Vec<Item>)| Update {
+            complete: true,
+            revision: *revision,
+            items: items.clone(),
+            ..Update::default()
+        };
+        let mut updates: Vec<Update> = recent.map(update).collect();
+        if updates.is_empty() {
+            updates.push(Update {
+                complete: true,
+                revision: newest,
+                ..Update::default()
+            });
+        }
+        return updates;
+    }
+    let last = packed.len().saturating_sub(1);
+    let update = |(at, part): (usize, &Bytes)| Update {
+        reset: at == 0,
+        complete: at == last,
+        revision: newest,
+        packed: part.clone(),
+        ..Update::default()
+    };
+    packed.iter().enumerate().map(update).collect()
+}
+
+/// The whole configuration in parts, each encoded once for all hosts that start anew.
+pub fn pack(state: &State) -> Vec<Bytes> {
+    let mut parts = Vec::new();
+    let mut part = Items::default();
+    for (item, _) in state.catalog().items() {
+        part.items.push(item);
+        if part.items.len() == UPDATE_ITEMS {
+            parts.push(part.encode_to_vec().into());
+            part.items.clear();
+        }
+    }
+    parts.push(part.encode_to_vec().into());
+    parts
+}
+
+/// Sends a follower what it lacks, then each update as it comes.
+pub async fn feed(first: Vec<Update>, mut queue: mpsc::Receiver<Update>, responder: Responder) {
+    for update in first {
+        if responder.send(Body::Update(update)).await.is_err() {
+            return;
+        }
+    }
+    loop {
+        let update = tokio::select! {
+            update = queue.recv() => update,
+            () = responder.cancelled() => None,
+        };
+        let Some(update) = update else {
+            break;
+        };
+        if responder.send(Body::Update(update)).await.is_err() {
+            return;
+        }
+    }
+    // The follower asks again, here or at another leader.
+    let _ = responder.finish(Body::Redirect(Redirect::default())).await;
+}
--- a/crates/tanagershift/src/voter/lease.rs
+++ b/crates/tanagershift/src/voter/lease.rs
@@ -11,7 +11,10 @@
 
 use tokio::time::Instant;
 
-use super::state::{Assignment, Move, State};
+use super::{
+    command::{Assignment, Move},
+    state::State,
+};
 use crate::{
     id,
     platform::{Kind, Upstream},
--- a/crates/tanagershift/src/voter/mod.rs
+++ b/crates/tanagershift/src/voter/mod.rs
@@ -1,12 +1,18 @@
 //! The duty of a voter: keeps the replicated log, and leads when elected.
 //!
+//! * `command`: what can be decided.
 //! * `state`: what the group has decided.
 //! * `lease`: which host holds which replica.
 //! * `permit`: the weight store's budget.
 //! * `report`: answers to the operators' tool.
+//! * `join`: how a data folder comes to belong to a group.
+//! * `feed`: what hosts that follow are sent.
 //! * `driver`: input and output.
 
+pub mod command;
 pub mod driver;
+pub mod feed;
+pub mod join;
 pub mod lease;
 pub mod permit;
 pub mod report;
--- a/crates/tanagershift/src/voter/report.rs
+++ b/crates/tanagershift/src/voter/report.rs
@@ -88,7 +88,7 @@
         .state
         .audit()
         .filter(|record| record.number > query.after);
-    let row = |record: &super::state::Audit| {
+    let row = |record: &super::command::Audit| {
         json!({
             "number": record.number,
             "at_millis": record.at,
--- a/crates/tanagershift/src/voter/tests.rs
+++ b/crates/tanagershift/src/voter/tests.rs
@@ -10,12 +10,13 @@
 use tokio::time::Instant;
 
 use super::{
-    lease::{self, Leases},
-    permit::{self, Permits},
-    state::{
+    command::{
         Answer, Assign, Claim, Claimed, Command, Effect, Move, Order, Outcome, Published, Settle,
-        Standing, State,
+        Standing,
     },
+    lease::{self, Leases},
+    permit::{self, Permits},
+    state::State,
 };
 use crate::{
     catalog::{AdapterItem, ChangeSet, Intent, Item, Kind, VersionItem},
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::{catalog, quorum::message as quorum, voter::state};
+use crate::{catalog, quorum::message as quorum, voter::command};
 
 /// Version of the protocol; a peer with another one is refused.
 pub const VERSION: u32 = 1;
@@ -60,10 +60,10 @@
     Quorum(quorum::Envelope),
     /// Asks the leader to commit a command.
     #[prost(message, tag = "5")]
-    Propose(state::Command),
+    Propose(command::Command),
     /// Outcome of a command.
     #[prost(message, tag = "6")]
-    Outcome(state::Outcome),
+    Outcome(command::Outcome),
     /// Asks for the configuration and assignments from a revision on.
     #[prost(message, tag = "7")]
     Follow(Follow),
--- a/crates/tanagershiftctl/src/commands.rs
+++ b/crates/tanagershiftctl/src/commands.rs
@@ -12,7 +12,7 @@
     operator,
     quorum::message::Member,
     settings::read_token,
-    voter::state::{Command, Drain, Effect, MemberChange, Order, Outcome, Published},
+    voter::command::{Command, Drain, Effect, MemberChange, Order, Outcome, Published},
     wire::{Body, Follow, Format, Query},
 };
 use tokio::time::{Instant, sleep, timeout};
