--- a/crates/tanagershift/src/quorum/node.rs
+++ b/crates/tanagershift/src/quorum/node/mod.rs
@@ -1,4 +1,12 @@
 //! Decisions of one member of the group.
+//!
+//! * `election`: who leads.
+//! * `membership`: who votes.
+//! * `transfer`: snapshots for members that lack too much.
+
+mod election;
+mod membership;
+mod transfer;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -7,15 +15,12 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use super::{
     log::Log,
-    message::{
-        Append, Appended, Ask, Ballot, Body, Campaign, Entry, Envelope, Install, Installed, Member,
-        Members, Snapshot, Vote,
-    },
+    message::{Append, Appended, Ballot, Body, Entry, Envelope, Member, Members, Snapshot},
 };
 use crate::id;
 
@@ -23,12 +28,6 @@
 const APPEND_LIMIT: usize = 1 << 20;
 /// Most entries sent to a member ahead of its answers.
 const WINDOW: u64 = 4096;
-/// Bytes of a snapshot in one message.
-const PART_LEN: usize = 1 << 20;
-/// Entries that a member may lack when it is made a voter.
-const PROMOTE_LAG: u64 = 16;
-/// Election times of silence after which a voter with a twin on its host is taken for replaced.
-const SILENT_ELECTIONS: u32 = 3;
 /// Heartbeat rounds whose start is remembered.
 const ROUNDS: usize = 64;
 
@@ -335,95 +334,6 @@
         }
     }
 
-    fn delay_campaign(&mut self, now: Instant) {
-        let extra = self.config.election.as_micros() as u64;
-        let extra = Duration::from_micros(self.random.random_range(0..=extra));
-        self.campaign_at = now + self.config.election + extra;
-    }
-
-    fn campaign(&mut self, probe: bool, handover: bool, now: Instant) {
-        self.leader = None;
-        let mut term = self.ballot.term + 1;
-        if !probe {
-            self.ballot = Ballot {
-                term,
-                vote: self.id,
-            };
-            term = self.ballot.term;
-        }
-        let votes = BTreeSet::from([self.id]);
-        self.role = Role::Candidate { probe, votes };
-        let ask = Ask {
-            probe,
-            last_index: self.log.last_index(),
-            last_term: self.log.last_term(),
-            handover,
-        };
-        let others: Vec<_> = self.voters().filter(|member| *member != self.id).collect();
-        for member in others {
-            self.send_in(member, term, Body::Ask(ask));
-        }
-        self.count_votes(now);
-    }
-
-    fn count_votes(&mut self, now: Instant) {
-        let Role::Candidate { probe, votes } = &self.role else {
-            return;
-        };
-        if !self.is_majority(|member| votes.contains(&member)) {
-            return;
-        }
-        if *probe {
-            self.campaign(false, false, now);
-        } else {
-            self.lead(now);
-        }
-    }
-
-    fn lead(&mut self, now: Instant) {
-        let first = self.log.last_index() + 1;
-        self.role = Role::Leader(Box::new(Leadership {
-            progress: BTreeMap::new(),
-            round: 0,
-            rounds: VecDeque::new(),
-            next_heartbeat: now,
-            began: now,
-            first,
-        }));
-        self.leader = Some(self.id);
-        self.track_members();
-        self.push(Bytes::new(), None);
-        self.heartbeat(now);
-    }
-
-    /// Becomes a follower, of a leader or of nobody yet.
-    fn follow(&mut self, leader: Option<id::Member>, now: Instant) {
-        if !matches!(self.role, Role::Follower) {
-            self.role = Role::Follower;
-            self.delay_campaign(now);
-        }
-        self.leader = leader;
-    }
-
-    fn track_members(&mut self) {
-        let next = self.log.last_index() + 1;
-        let Role::Leader(leadership) = &mut self.role else {
-            return;
-        };
-        let known = &self.members.members;
-        leadership
-            .progress
-            .retain(|id, _| known.iter().any(|member| member.id == *id));
-        for member in known.iter().filter(|member| member.id != self.id) {
-            leadership.progress.entry(member.id).or_insert(Progress {
-                matched: 0,
-                next,
-                acked: None,
-                installing: None,
-            });
-        }
-    }
-
     fn heartbeat(&mut self, now: Instant) {
         let heartbeat = self.config.heartbeat;
         let Role::Leader(leadership) = &mut self.role else {
@@ -477,22 +387,6 @@
         self.send(member, Body::Append(append));
     }
 
-    fn send_part(&mut self, member: id::Member, offset: usize, round: u64) {
-        let snapshot = self.log.snapshot();
-        let offset = offset.min(snapshot.data.len());
-        let end = snapshot.data.len().min(offset + PART_LEN);
-        let install = Install {
-            part: Snapshot {
-                data: snapshot.data.slice(offset..end),
-                ..snapshot.clone()
-            },
-            offset: offset as u64,
-            last: end == snapshot.data.len(),
-            round,
-        };
-        self.send(member, Body::Install(install));
-    }
-
     fn send(&mut self, to: id::Member, body: Body) {
         self.send_in(to, self.ballot.term, body);
     }
@@ -553,128 +447,6 @@
         }
     }
 
-    /// Adds a member that follows first and votes once it has caught up.
-    ///
-    /// # Errors
-    ///
-    /// Not the leader, or another change is under way, or the member is known.
-    pub fn add_member(&mut self, member: Member) -> Result<(id::Index, id::Term), Refusal> {
-        if self
-            .members
-            .members
-            .iter()
-            .any(|known| known.id == member.id)
-        {
-            return Err(Refusal::Invalid("the member is known already"));
-        }
-        let mut members = self.members.clone();
-        members.members.push(Member {
-            voter: false,
-            ..member
-        });
-        self.change_members(members)
-    }
-
-    /// Removes a member.
-    ///
-    /// # Errors
-    ///
-    /// Not the leader, another change is under way, or the member may not be removed.
-    pub fn remove_member(&mut self, id: id::Member) -> Result<(id::Index, id::Term), Refusal> {
-        if id == self.id {
-            return Err(Refusal::Invalid("the leader cannot remove itself"));
-        }
-        if self.members.members.iter().all(|member| member.id != id) {
-            return Err(Refusal::Invalid("the member is unknown"));
-        }
-        let mut members = self.members.clone();
-        members.members.retain(|member| member.id != id);
-        self.change_members(members)
-    }
-
-    fn change_members(&mut self, mut members: Members) -> Result<(id::Index, id::Term), Refusal> {
-        self.check_leader()?;
-        if self.members_index > self.commit {
-            return Err(Refusal::Busy);
-        }
-        members.members.sort_by_key(|member| member.id);
-        let index = self.push(Bytes::new(), Some(members.clone()));
-        self.members = members;
-        self.members_index = index;
-        self.track_members();
-        self.replicate_all();
-        Ok((index, self.ballot.term))
-    }
-
-    /// Makes a member that has caught up a voter, and drops the identity that it replaces.
-    fn promote(&mut self, now: Instant) {
-        let Role::Leader(leadership) = &self.role else {
-            return;
-        };
-        let last = self.log.last_index();
-        let recent = now.checked_sub(self.config.election).unwrap_or(now);
-        let caught_up = |member: &&Member| {
-            let progress = leadership.progress.get(&member.id);
-            !member.voter
-                && progress.is_some_and(|progress| {
-                    progress.matched + PROMOTE_LAG >= last
-                        && progress.acked.is_some_and(|acked| acked >= recent)
-                })
-        };
-        let mut members = self.members.clone();
-        if let Some(ready) = self.members.members.iter().find(caught_up) {
-            let id = ready.id;
-            for member in &mut members.members {
-                member.voter |= member.id == id;
-            }
-        } else if let Some(replaced) = self.replaced(now) {
-            members.members.retain(|member| member.id != replaced);
-        } else {
-            return;
-        }
-        // Refused while another change is under way; the next heartbeat tries again.
-        let _ = self.change_members(members);
-    }
-
-    /// A silent voter whose host has another voter: its data folder was lost and replaced.
-    fn replaced(&self, now: Instant) -> Option<id::Member> {
-        let Role::Leader(leadership) = &self.role else {
-            return None;
-        };
-        let voters = || self.members.members.iter().filter(|member| member.voter);
-        let silence = self.config.election * SILENT_ELECTIONS;
-        let is_silent = |member: id::Member| {
-            let progress = leadership.progress.get(&member);
-            let heard = progress.map(|progress| progress.acked.unwrap_or(leadership.began));
-            heard.is_some_and(|heard| now.saturating_duration_since(heard) > silence)
-        };
-        let has_twin = |member: &&Member| {
-            voters().any(|other| other.host == member.host && other.id != member.id)
-        };
-        let replaced = voters().find(|member| has_twin(member) && is_silent(member.id));
-        replaced.map(|member| member.id)
-    }
-
-    /// Gives the leadership to the voter that lacks least, for a graceful shutdown.
-    ///
-    /// This member serves nothing more in this term, so its lease ends before the other's begins.
-    pub fn hand_over(&mut self, now: Instant) -> bool {
-        let Role::Leader(leadership) = &self.role else {
-            return false;
-        };
-        let best = self
-            .voters()
-            .filter_map(|member| Some((leadership.progress.get(&member)?.matched, member)))
-            .max();
-        let Some((_, member)) = best else {
-            return false;
-        };
-        self.replicate(member, false);
-        self.send(member, Body::Campaign(Campaign {}));
-        self.follow(None, now);
-        true
-    }
-
     /// Takes a message from another member.
     pub fn receive(&mut self, envelope: Envelope, now: Instant) {
         if envelope.group != self.group || envelope.to != self.id {
@@ -713,83 +485,6 @@
         }
     }
 
-    fn adopt_term(&mut self, term: id::Term, now: Instant) {
-        self.ballot = Ballot { term, vote: 0 };
-        self.follow(None, now);
-    }
-
-    /// Tells a deposed leader of the newer term.
-    fn answer_stale(&mut self, from: id::Member, body: &Body) {
-        if matches!(body, Body::Append(_) | Body::Install(_)) {
-            let answer = Appended {
-                ok: false,
-                index: 0,
-                round: 0,
-            };
-            self.send(from, Body::Appended(answer));
-        }
-    }
-
-    fn hear(&mut self, leader: id::Member, now: Instant) {
-        self.follow(Some(leader), now);
-        self.heard = now;
-        self.delay_campaign(now);
-    }
-
-    fn answer_ask(&mut self, from: id::Member, term: id::Term, ask: Ask, now: Instant) {
-        let leads = self.holds_lease(now) || now < self.heard + self.config.election;
-        if leads && !ask.handover {
-            return;
-        }
-        if term < self.ballot.term {
-            let vote = Vote {
-                probe: ask.probe,
-                granted: false,
-            };
-            self.send(from, Body::Vote(vote));
-            return;
-        }
-        let ours = (self.log.last_term(), self.log.last_index());
-        let current = (ask.last_term, ask.last_index) >= ours;
-        if ask.probe {
-            let granted = current && term > self.ballot.term;
-            let answer = if granted { term } else { self.ballot.term };
-            let vote = Vote {
-                probe: true,
-                granted,
-            };
-            self.send_in(from, answer, Body::Vote(vote));
-            return;
-        }
-        if term > self.ballot.term {
-            self.adopt_term(term, now);
-        }
-        let free = self.ballot.vote == 0 || self.ballot.vote == from;
-        let granted = free && current && matches!(self.role, Role::Follower);
-        if granted {
-            self.ballot.vote = from;
-            self.delay_campaign(now);
-        }
-        let vote = Vote {
-            probe: false,
-            granted,
-        };
-        self.send(from, Body::Vote(vote));
-    }
-
-    fn take_vote(&mut self, from: id::Member, term: id::Term, vote: Vote, now: Instant) {
-        let asked = self.ballot.term + u64::from(vote.probe);
-        let Role::Candidate { probe, votes } = &mut self.role else {
-            return;
-        };
-        if vote.granted && *probe == vote.probe && term == asked {
-            votes.insert(from);
-            self.count_votes(now);
-        } else if vote.probe && !vote.granted && term > self.ballot.term {
-            self.adopt_term(term, now);
-        }
-    }
-
     fn take_entries(&mut self, from: id::Member, append: Append) {
         let Append {
             prev_index,
@@ -909,89 +604,6 @@
         }
     }
 
-    fn take_part(&mut self, from: id::Member, install: Install) {
-        let part = install.part;
-        let index = part.index;
-        let mut answer = Installed {
-            index,
-            offset: 0,
-            complete: index <= self.commit,
-            round: install.round,
-        };
-        if !answer.complete {
-            let fresh = !matches!(&self.incoming, Some((known, _))
-                if (known.index, known.term) == (index, part.term));
-            if fresh {
-                let head = Snapshot {
-                    data: Bytes::new(),
-                    ..part.clone()
-                };
-                self.incoming = Some((head, BytesMut::new()));
-            }
-            if let Some((_, data)) = &mut self.incoming {
-                let expected = data.len() as u64 == install.offset;
-                if expected {
-                    data.extend_from_slice(&part.data);
-                }
-                answer.offset = data.len() as u64;
-                answer.complete = expected && install.last;
-            }
-            if answer.complete {
-                self.install();
-            }
-        }
-        self.send(from, Body::Installed(answer));
-    }
-
-    fn install(&mut self) {
-        let Some((mut snapshot, data)) = self.incoming.take() else {
-            return;
-        };
-        snapshot.data = data.freeze();
-        self.commit = snapshot.index;
-        self.applied = snapshot.index;
-        self.unsynced.retain(|entry| entry.index > snapshot.index);
-        self.log.install(snapshot.clone());
-        if self.log.last_index() == snapshot.index {
-            self.unsynced.clear();
-        }
-        self.synced = self.synced.clamp(snapshot.index, self.log.last_index());
-        (self.members, self.members_index) = self.log.members(u64::MAX);
-        self.installed = Some(snapshot);
-    }
-
-    fn take_installed(&mut self, from: id::Member, installed: Installed) {
-        let current = self.log.snapshot().index;
-        let Some(progress) = self.note_contact(from, installed.round) else {
-            return;
-        };
-        let Some(offset) = progress.installing else {
-            return;
-        };
-        if installed.complete {
-            progress.installing = None;
-            progress.matched = progress.matched.max(installed.index);
-            progress.next = progress.matched + 1;
-            self.advance_commit();
-            self.replicate(from, false);
-            return;
-        }
-        let received = usize::try_from(installed.offset).unwrap_or(0);
-        if installed.index != current {
-            // A newer snapshot replaced the one under way.
-            progress.installing = Some(0);
-        } else if received != offset {
-            progress.installing = Some(received);
-        } else {
-            return;
-        }
-        let next = progress.installing.unwrap_or(0);
-        if let Role::Leader(leadership) = &self.role {
-            let round = leadership.round;
-            self.send_part(from, next, round);
-        }
-    }
-
     /// Takes out what must be done now.
     pub fn ready(&mut self) -> Ready {
         let mut ready = Ready {
