standins: give no port twice within a process

The host was down between kill and restart; another test's site, prepared in that moment, drew its port. Ruled out: a connection in TIME_WAIT (the listener reuses addresses), the range of outgoing connections (32768 and up; ports are drawn from 12000 to 30000).

--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -1,6 +1,10 @@
 //! Free ports for a local trial.
 
-use std::net::TcpListener;
+use std::{
+    collections::BTreeSet,
+    net::TcpListener,
+    sync::{Mutex, PoisonError},
+};
 
 use argh::FromArgs;
 use rand::Rng;
@@ -10,6 +14,9 @@
 /// Ports from which free ones are taken: below those that systems give to outgoing connections.
 const RANGE: std::ops::Range<u16> = 12_000..30_000;
 
+/// Ports that this process gave out; their owners may be down for a while and come back.
+static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 /// Print free ports of the loopback address.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "ports")]
@@ -42,6 +49,10 @@
             return Err(Error::new("too few free ports"));
         }
         let port = random.random_range(RANGE);
+        let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+        if !given.insert(port) {
+            continue;
+        }
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             found.push(listener);
         }
