--- a/crates/tanagershift/src/daemon.rs
+++ b/crates/tanagershift/src/daemon.rs
@@ -62,7 +62,7 @@
     stop: watch::Sender<bool>,
 }
 
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+pub(crate) async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.context(ListenSnafu {
         address: address.to_string(),
     })
@@ -187,6 +187,7 @@
         store: settings.store.clone(),
         snapshot_every: voter.snapshot_every,
         seed,
+        reopen: false,
     };
     let (handle, run) = driver::start(config, pool.clone(), list.clone())?;
     Ok(Some((handle, tokio::spawn(run))))
@@ -215,6 +216,9 @@
             | Body::Cancel(_)
             | Body::Redirect(_)
             | Body::Report(_)
+            | Body::Watch(_)
+            | Body::Notice(_)
+            | Body::Tally(_)
             | Body::Error(_) => responder.finish_now(Body::Error(Failure {
                 reason: "not a question".to_owned(),
             })),
--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -47,6 +47,10 @@
     MEMBERS = 207, Info;
     /// The data folder was assigned to a group.
     FORMATTED = 208, Info;
+    /// The damaged data folder of a voter was emptied.
+    ERASED = 209, Warn;
+    /// This host started a group.
+    FOUNDED = 210, Info;
     /// A change set was accepted.
     ACCEPTED = 301, Info;
     /// A change set was refused.
--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -1,7 +1,13 @@
 //! How a host finds the leader, follows the configuration, and renews its leases.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    future,
+    pin::pin,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use snafu::Snafu;
 use tokio::{
     sync::watch,
@@ -18,6 +24,8 @@
 
 /// Pause after every known voter was asked in vain.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a candidate is asked alone before the next one is asked as well.
+const STAGGER: Duration = Duration::from_millis(150);
 /// Longest wait for one voter's answer in a search.
 const ATTEMPT: Duration = Duration::from_millis(700);
 /// Time for which a revision may be accepted and not here before the host looks elsewhere.
@@ -36,16 +44,20 @@
 #[derive(Clone, Debug)]
 pub struct Leader {
     pool: Pool,
-    voters: Arc<Vec<String>>,
+    /// Where the search starts.
+    seeds: Arc<Vec<String>>,
+    /// Voters as last told.
+    voters: Arc<Mutex<Vec<String>>>,
     current: watch::Sender<Option<String>>,
 }
 
 impl Leader {
     /// Makes a client of the group.
-    pub fn new(pool: Pool, voters: Vec<String>) -> Self {
+    pub fn new(pool: Pool, seeds: Vec<String>) -> Self {
         Self {
             pool,
-            voters: Arc::new(voters),
+            seeds: Arc::new(seeds),
+            voters: Arc::default(),
             current: watch::Sender::new(None),
         }
     }
@@ -68,10 +80,8 @@
     pub async fn ask(&self, body: Body, limit: Duration, attempt: Duration) -> Result<Body, Error> {
         let search = async {
             loop {
-                for address in self.candidates() {
-                    if let Some(answer) = self.ask_from(address, &body, attempt).await {
-                        return answer;
-                    }
+                if let Some((_, answer)) = self.open_any(&body, attempt).await {
+                    return answer;
                 }
                 sleep(SEARCH_PAUSE).await;
             }
@@ -79,10 +89,34 @@
         timeout(limit, search).await.map_err(|_| Error::NoLeader)
     }
 
-    /// The leader as last known, then every voter.
+    /// Opens a stream at the leader, and waits for its first message; `None` when none came in
+    /// time.
+    pub async fn open(
+        &self,
+        body: Body,
+        limit: Duration,
+        attempt: Duration,
+    ) -> Option<(Call, Body)> {
+        timeout(limit, self.open_any(&body, attempt)).await.ok()?
+    }
+
+    /// Asks every candidate, each a little after the one before, until one answers.
+    async fn open_any(&self, body: &Body, attempt: Duration) -> Option<(Call, Body)> {
+        let ask = |(number, address): (usize, String)| async move {
+            sleep(STAGGER * number as u32).await;
+            self.open_at(address, body, attempt).await
+        };
+        let asked: FuturesUnordered<_> =
+            self.candidates().into_iter().enumerate().map(ask).collect();
+        let answers = asked.filter_map(future::ready);
+        pin!(answers).next().await
+    }
+
+    /// The leader as last known, then every voter, then the seeds.
     fn candidates(&self) -> Vec<String> {
         let mut candidates: Vec<String> = self.current.borrow().iter().cloned().collect();
-        for voter in self.voters.iter() {
+        let voters = self.voters.lock().unwrap_or_else(PoisonError::into_inner);
+        for voter in voters.iter().chain(self.seeds.iter()) {
             if !candidates.contains(voter) {
                 candidates.push(voter.clone());
             }
@@ -90,21 +124,32 @@
         candidates
     }
 
+    /// Takes note of who votes now.
+    pub fn learn(&self, voters: Vec<String>) {
+        *self.voters.lock().unwrap_or_else(PoisonError::into_inner) = voters;
+    }
+
     /// Asks one voter, and the leader that it names.
-    async fn ask_from(&self, mut address: String, body: &Body, limit: Duration) -> Option<Body> {
+    async fn open_at(
+        &self,
+        mut address: String,
+        body: &Body,
+        limit: Duration,
+    ) -> Option<(Call, Body)> {
         for _ in 0..2 {
-            let call = async {
-                let call = self.pool.call(&address, body.clone()).await?;
-                call.answer().await
+            let opened = async {
+                let mut call = self.pool.call(&address, body.clone()).await?;
+                let first = call.next().await?;
+                Ok::<_, link::Error>((call, first))
             };
-            match timeout(limit, call).await {
-                Ok(Ok(Body::Redirect(redirect))) if !redirect.address.is_empty() => {
+            match timeout(limit, opened).await {
+                Ok(Ok((_, Some(Body::Redirect(redirect))))) if !redirect.address.is_empty() => {
                     address = redirect.address;
                 }
-                Ok(Ok(Body::Redirect(_)) | Err(_)) | Err(_) => return None,
-                Ok(Ok(answer)) => {
+                Ok(Ok((_, Some(Body::Redirect(_)) | None)) | Err(_)) | Err(_) => return None,
+                Ok(Ok((call, Some(answer)))) => {
                     self.note(address);
-                    return Some(answer);
+                    return Some((call, answer));
                 }
             }
         }
--- /dev/null
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -0,0 +1,247 @@
+//! A host with the duty of a gateway: everything started together, and shut down without cutting
+//! off a request.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{
+    Gateway,
+    control::Control,
+    dialect::Dialect,
+    follow::Follower,
+    hub,
+    server,
+    settings::Config,
+};
+use crate::{
+    daemon::{Error, listen},
+    follower::Leader,
+    link::{self, Greeting, Pool, Responder},
+    platform::List,
+    settings::Settings,
+    voter::{
+        admission::{self, Candidate},
+        driver,
+    },
+    wire::{Body, Redirect},
+};
+
+/// Time between two checks of what a shutdown waits for.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Time before the end of the grace period at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+
+/// A running host.
+#[derive(Debug)]
+pub struct Daemon {
+    gateway: Arc<Gateway>,
+    voter: Option<driver::Handle>,
+    stop: watch::Sender<bool>,
+    /// Time for the balancer to see that the host is not ready.
+    balancer: Duration,
+    /// Longest time of a graceful shutdown.
+    grace: Duration,
+}
+
+impl Daemon {
+    /// Starts every duty that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// An address or the data folder cannot be used.
+    pub async fn start(
+        settings: Settings,
+        config: Config,
+        dialect: Arc<dyn Dialect>,
+    ) -> Result<Self, Error> {
+        let session = rand::random::<u64>() | 1;
+        let host = settings.host.name.clone();
+        let greeting = Greeting {
+            host: host.clone(),
+            token: settings.token()?,
+        };
+        let peers = listen(settings.host.peer).await?;
+        let admin = listen(settings.host.admin).await?;
+        let callers = listen(config.callers).await?;
+        let ready = listen(config.ready).await?;
+        let control = listen(config.control).await?;
+        let pool = Pool::new(greeting.clone());
+        let seeds = seeds(&settings);
+        let addresses = seeds.iter().map(SocketAddr::to_string).collect();
+        let leader = Leader::new(pool.clone(), addresses);
+        let gateway = Arc::new(Gateway::new(
+            host.clone(),
+            settings.host.zone.clone(),
+            session,
+            dialect,
+            config.budget.clone(),
+            config.version_bound,
+        ));
+        let voter = start_voter(&settings, &pool, &leader, seeds)?;
+        let hub = voter.as_ref().map(|voter| {
+            let board = voter.board().clone();
+            hub::start(gateway.clone(), board, config.clone())
+        });
+        let takes = Peers {
+            host,
+            leader: leader.clone(),
+            voter: voter.clone(),
+            hub,
+        };
+        let handle = move |body, responder| takes.take(body, responder);
+        tokio::spawn(link::serve(peers, greeting, handle));
+        tokio::spawn(server::serve_figures(gateway.clone(), admin));
+        let address = settings.host.peer.to_string();
+        follow(&gateway, &leader, &config, address);
+        let operators = Control {
+            gateway: gateway.clone(),
+            leader,
+        };
+        tokio::spawn(operators.serve(control));
+        tokio::spawn(server::serve_probe(gateway.clone(), ready));
+        let stop = watch::Sender::new(false);
+        tokio::spawn(server::serve(gateway.clone(), callers, stop.subscribe()));
+        log::info!(
+            "event=start host={} zone={} session={session:016x} voter={}",
+            gateway.host,
+            gateway.zone,
+            voter.is_some()
+        );
+        Ok(Self {
+            gateway,
+            voter,
+            stop,
+            balancer: settings.host.balancer,
+            grace: settings.host.drain,
+        })
+    }
+
+    /// Shuts down: no request is cut off unless the grace period passes.
+    pub async fn shutdown(&self) {
+        let began = Instant::now();
+        log::info!("event=drain open={}", self.gateway.metrics.open.get());
+        self.gateway.draining.send_replace(true);
+        if let Some(voter) = &self.voter {
+            voter.hand_over().await;
+        }
+        sleep(self.balancer).await;
+        self.stop.send_replace(true);
+        let limit = self.grace.saturating_sub(GRACE_MARGIN);
+        let done = async {
+            while self.gateway.metrics.open.get() > 0 {
+                sleep(DRAIN_CHECK).await;
+            }
+            // The last answers are on their way out.
+            sleep(DRAIN_CHECK).await;
+        };
+        let finished = timeout(limit.saturating_sub(began.elapsed()), done).await;
+        log::info!(
+            "event=stop open={} finished={} took_ms={}",
+            self.gateway.metrics.open.get(),
+            finished.is_ok(),
+            began.elapsed().as_millis()
+        );
+    }
+}
+
+/// Peer addresses of the hosts where the search for the group starts.
+fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let port = settings.host.peer.port();
+    let seeds = settings.group.seeds.iter();
+    seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
+fn follow(gateway: &Arc<Gateway>, leader: &Leader, config: &Config, address: String) {
+    let follower = Follower::new(gateway.clone(), leader.clone(), config.clone(), address);
+    tokio::spawn(follower.clone().watch());
+    tokio::spawn(follower.clone().tally());
+    tokio::spawn(follower.clone().fall_back());
+    tokio::spawn(follower.sweep());
+}
+
+fn start_voter(
+    settings: &Settings,
+    pool: &Pool,
+    leader: &Leader,
+    seeds: Vec<SocketAddr>,
+) -> Result<Option<driver::Handle>, Error> {
+    let Some(voter) = &settings.voter else {
+        return Ok(None);
+    };
+    let mut times = settings.group.times.clone();
+    // A majority must be left after the loss of `tolerance` voters.
+    times.keep_voters = 2 * settings.group.tolerance + 1;
+    let config = driver::Config {
+        host: settings.host.name.clone(),
+        address: settings.host.peer.to_string(),
+        data: voter.data.clone(),
+        times: times.clone(),
+        lease: settings.group.lease.clone(),
+        store: settings.store.clone(),
+        snapshot_every: voter.snapshot_every,
+        seed: rand::random(),
+        reopen: true,
+    };
+    let (_, list) = watch::channel(List::default());
+    let (handle, run) = driver::start(config, pool.clone(), list)?;
+    tokio::spawn(run);
+    let candidate = Candidate {
+        host: settings.host.name.clone(),
+        address: settings.host.peer,
+        seeds,
+        bootstrap: settings.group.bootstrap,
+        election: times.election,
+    };
+    tokio::spawn(admission::keep(candidate, handle.clone(), leader.clone()));
+    Ok(Some(handle))
+}
+
+/// What other hosts may ask of this one.
+#[derive(Clone)]
+struct Peers {
+    host: String,
+    leader: Leader,
+    voter: Option<driver::Handle>,
+    hub: Option<hub::Handle>,
+}
+
+impl Peers {
+    fn take(&self, body: Body, responder: Responder) {
+        match body {
+            Body::Watch(watch) => match &self.hub {
+                Some(hub) if self.leads() => hub.take(hub::Input::Watch(watch, responder)),
+                _ => self.redirect(responder),
+            },
+            Body::Tally(tally) => {
+                if let Some(hub) = &self.hub {
+                    hub.take(hub::Input::Tally(tally));
+                }
+            }
+            Body::Query(query) if query.kind == "identity" && self.voter.is_none() => {
+                responder.finish_now(Body::Report(admission::no_identity(&self.host)));
+            }
+            question => match &self.voter {
+                Some(voter) => voter.take(question, responder),
+                None => self.redirect(responder),
+            },
+        }
+    }
+
+    fn leads(&self) -> bool {
+        let voter = self.voter.as_ref();
+        voter.is_some_and(|voter| voter.board().standing().leads.is_some())
+    }
+
+    /// Names the leader as far as this host knows it.
+    fn redirect(&self, responder: Responder) {
+        let voter = self.voter.as_ref();
+        let known = voter.map(|voter| voter.board().standing().leader);
+        let last = || self.leader.current().borrow().clone().unwrap_or_default();
+        let address = known.filter(|known| !known.is_empty()).unwrap_or_else(last);
+        responder.finish_now(Body::Redirect(Redirect { address }));
+    }
+}
--- /dev/null
+++ b/crates/tanagershift/src/gateway/follow.rs
@@ -0,0 +1,206 @@
+//! How a gateway keeps up: it is told by the leader what changes, and tells what it has seen.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{
+    Gateway, cloud,
+    feed::{Document, List, Notice, Tally, Watch},
+    settings::Config,
+};
+use crate::{follower::Leader, link::Call, wire::Body};
+
+/// Longest wait for a leader to begin to tell.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for one host in the search for the leader.
+const ATTEMPT: Duration = Duration::from_millis(700);
+/// Pause after no leader was found.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+/// Intervals without a notice after which the connection to the leader counts as lost.
+const SILENT_INTERVALS: u32 = 5;
+/// Shortest time without a notice after which the connection to the leader counts as lost.
+const SILENT_MIN: Duration = Duration::from_millis(900);
+/// Time between two tallies before a leader has named one.
+const TALLY_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two tallies when requests wait for adapters.
+const TALLY_MIN: Duration = Duration::from_millis(4);
+/// Time without a notice after which the gateway reads the list itself.
+const LIST_STALE: Duration = Duration::from_millis(1500);
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the loops of one gateway share.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    /// The gateway.
+    pub gateway: Arc<Gateway>,
+    /// Client of the group.
+    pub leader: Leader,
+    /// Settings.
+    pub config: Config,
+    /// Peer address of this host.
+    pub address: String,
+    /// When the last notice came.
+    pub heard: watch::Sender<Option<Instant>>,
+    /// Time between two tallies, as the leader named it.
+    pub interval: watch::Sender<Duration>,
+}
+
+impl Follower {
+    /// Makes the loops' shared part.
+    pub fn new(gateway: Arc<Gateway>, leader: Leader, config: Config, address: String) -> Self {
+        Self {
+            gateway,
+            leader,
+            config,
+            address,
+            heard: watch::Sender::new(None),
+            interval: watch::Sender::new(TALLY_INTERVAL),
+        }
+    }
+
+    /// Takes notices of whichever host leads, until the process ends.
+    pub async fn watch(self) {
+        loop {
+            let version = self.version();
+            let watch = Body::Watch(Watch {
+                host: self.gateway.host.clone(),
+                session: self.gateway.session,
+                version,
+                address: self.address.clone(),
+            });
+            let opened = self.leader.open(watch, WATCH_TIMEOUT, ATTEMPT).await;
+            if let Some((call, Body::Notice(first))) = opened {
+                log::info!("event=leader.found term={}", first.term);
+                self.take(first);
+                let reason = self.take_notices(call).await;
+                log::info!("event=leader.lost reason={reason}");
+            }
+            sleep(SEARCH_PAUSE).await;
+        }
+    }
+
+    fn version(&self) -> u64 {
+        let view = self.gateway.view();
+        let configuration = view.configuration.as_ref();
+        configuration.map_or(0, |configuration| configuration.version)
+    }
+
+    async fn take_notices(&self, mut call: Call) -> &'static str {
+        loop {
+            let silence = (*self.interval.borrow() * SILENT_INTERVALS).max(SILENT_MIN);
+            match timeout(silence, call.next()).await {
+                Ok(Ok(Some(Body::Notice(notice)))) => self.take(notice),
+                Ok(Ok(_)) => return "it no longer leads",
+                Ok(Err(_)) => return "connection failed",
+                Err(_) => return "silent",
+            }
+        }
+    }
+
+    fn take(&self, notice: Notice) {
+        let now = Instant::now();
+        self.heard.send_replace(Some(now));
+        if notice.interval_ms > 0 {
+            let interval = Duration::from_millis(notice.interval_ms.into());
+            self.interval.send_replace(interval);
+        }
+        if !notice.voters.is_empty() {
+            self.leader.learn(notice.voters.clone());
+        }
+        let places = notice.whole || !notice.places.is_empty() || notice.list.is_some();
+        self.gateway.view().take(&notice, now);
+        if let Some(document) = &notice.document {
+            self.configure(document);
+        }
+        if places {
+            self.gateway.changed.send_modify(|number| *number += 1);
+        }
+    }
+
+    /// Puts a configuration in force; an older one than the present never comes back.
+    fn configure(&self, document: &Document) {
+        if document.version <= self.version() {
+            return;
+        }
+        match self.gateway.dialect.configuration(&document.text) {
+            Ok(configuration) => {
+                log::info!(
+                    "event=configuration.in_force version={} routes={}",
+                    configuration.version,
+                    configuration.count()
+                );
+                self.gateway.metrics.version.set(document.version as i64);
+                self.gateway.view().configuration = Some(Arc::new(configuration));
+            }
+            Err(error) => log::error!(
+                "event=configuration.unreadable version={} reason={error}",
+                document.version
+            ),
+        }
+    }
+
+    /// Tells the leader what was seen, until the process ends.
+    pub async fn tally(self) {
+        loop {
+            let interval = *self.interval.borrow();
+            let began = Instant::now();
+            // Requests that wait for an adapter are told at once.
+            let _ = timeout(interval, self.gateway.wanted.notified()).await;
+            sleep(TALLY_MIN.saturating_sub(began.elapsed())).await;
+            let tally = {
+                let mut view = self.gateway.view();
+                Tally {
+                    host: self.gateway.host.clone(),
+                    session: self.gateway.session,
+                    open: Some(view.tell_open()),
+                    demand: view.take_demand(),
+                    missing: view.take_missing(),
+                }
+            };
+            self.leader.tell(Body::Tally(tally)).await;
+        }
+    }
+
+    /// Reads the list itself while the leader does not tell it, until the process ends.
+    pub async fn fall_back(self) {
+        let mut number = 0;
+        loop {
+            sleep(self.config.list_interval).await;
+            let heard = *self.heard.borrow();
+            if heard.is_some_and(|heard| heard.elapsed() < LIST_STALE) {
+                continue;
+            }
+            let hosts = self.gateway.view().hosts.max(1);
+            match cloud::read(&self.gateway, &self.config.list).await {
+                Ok(upstreams) => {
+                    number += 1;
+                    log::info!("event=list.own upstreams={}", upstreams.len());
+                    let list = List { number, upstreams };
+                    self.gateway.view().take_list(&list);
+                    self.gateway.changed.send_modify(|number| *number += 1);
+                }
+                Err(reason) => log::info!("event=list.own_failed reason={reason:?}"),
+            }
+            // All hosts share the platform's limit on calls.
+            let pause = f64::from(hosts) * OWN_READ_CALLS / self.config.list_rate;
+            sleep(Duration::from_secs_f64(pause)).await;
+        }
+    }
+
+    /// Closes connections that were idle for too long, until the process ends.
+    pub async fn sweep(self) {
+        loop {
+            sleep(SWEEP_INTERVAL).await;
+            self.gateway.pool.sweep(Instant::now());
+        }
+    }
+}
+
+/// Calls that one own reading of the list may take of the shared limit: two pages, and as much room
+/// for others.
+const OWN_READ_CALLS: f64 = 4.0;
--- /dev/null
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -0,0 +1,173 @@
+//! The duty of a gateway: routes callers' requests to the replicas of services, on a platform whose
+//! protocol a [`dialect::Dialect`] speaks.
+//!
+//! The path of a request is `server` → `forward` (classify, route) → `choose` → `exchange` →
+//! `relay`. Beside it:
+//!
+//! * `configuration`: routes, services and limits in force.
+//! * `view`: what this gateway knows of upstreams and adapters; `follow` keeps it up to date.
+//! * `hub`: the leader's part: reads the list, places adapters, tells the gateways.
+//! * `placement`: which adapter is loaded where; `orders` carries it out.
+//! * `cloud`: readings of the platform's list.
+//! * `control`: what operators ask.
+//! * `daemon`: everything started together.
+
+pub mod budget;
+pub mod choose;
+pub mod client;
+pub mod cloud;
+pub mod configuration;
+pub mod connection;
+pub mod control;
+pub mod daemon;
+pub mod dialect;
+pub mod event_stream;
+pub mod exchange;
+pub mod feed;
+pub mod figures;
+pub mod follow;
+pub mod forward;
+pub mod hub;
+pub mod orders;
+pub mod placement;
+pub mod relay;
+pub mod server;
+pub mod settings;
+#[cfg(test)]
+mod tests;
+pub mod view;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
+
+use crate::{id, verdict::Verdict};
+use budget::Budget;
+use connection::Pool;
+use dialect::Dialect;
+use exchange::Job;
+use figures::Figures;
+use forward::{Rejection, Trace};
+use view::View;
+
+/// One gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Host that it runs on.
+    pub host: id::Host,
+    /// Availability zone of the host.
+    pub zone: id::Zone,
+    /// Number drawn when the process started.
+    pub session: u64,
+    /// Protocol of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Figures for the operators.
+    pub metrics: Figures,
+    /// Tells that places changed.
+    pub changed: watch::Sender<u64>,
+    /// Tells that a request waits for an adapter.
+    pub wanted: Notify,
+    /// Whether the host is shutting down.
+    pub draining: watch::Sender<bool>,
+    view: Mutex<View>,
+    budget: Mutex<Budget>,
+}
+
+impl Gateway {
+    /// Makes a gateway that knows nothing yet.
+    pub fn new(
+        host: id::Host,
+        zone: id::Zone,
+        session: u64,
+        dialect: Arc<dyn Dialect>,
+        budget: budget::Config,
+        version_bound: Duration,
+    ) -> Self {
+        Self {
+            host,
+            zone,
+            session,
+            dialect,
+            pool: Pool::default(),
+            metrics: Figures::default(),
+            changed: watch::Sender::new(0),
+            wanted: Notify::new(),
+            draining: watch::Sender::new(false),
+            view: Mutex::new(View::new(version_bound)),
+            budget: Mutex::new(Budget::new(budget)),
+        }
+    }
+
+    /// What it knows.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its budget of repeats.
+    pub fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the host is shutting down.
+    pub fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view().configuration.is_some()
+    }
+
+    /// Writes the log line of a job that an upstream answered.
+    pub fn log_end(
+        &self,
+        job: &Job,
+        outcome: &str,
+        verdict: Verdict,
+        trace: &Trace,
+        first: Option<Duration>,
+    ) {
+        self.metrics.request(&job.route.name, outcome);
+        let now = Instant::now();
+        log::info!(
+            "event=request.end request={} route={} adapter={} outcome={outcome} verdict={verdict} \
+             upstreams={} arrivals={} stalled_ms={} first_ms={} total_ms={} failure={:?}",
+            job.call.id,
+            job.route.name,
+            job.call.adapter.as_deref().unwrap_or("-"),
+            trace.tried.join(","),
+            trace.arrivals,
+            trace.stalled.as_millis(),
+            first.map_or(-1, |first| first.as_millis() as i64),
+            now.duration_since(job.came).as_millis(),
+            trace.last_failure,
+        );
+    }
+
+    /// Writes the log line of a request that got an answer of the system's own.
+    pub fn log_rejection(&self, id: &str, rejection: &Rejection, trace: &Trace, took: Duration) {
+        self.metrics.request("-", rejection.status.as_str());
+        log::info!(
+            "event=request.reject request={id} status={} reason={:?} upstreams={} arrivals={} \
+             stalled_ms={} total_ms={} retry_after_ms={} failure={:?}",
+            rejection.status.as_u16(),
+            rejection.reason,
+            trace.tried.join(","),
+            trace.arrivals,
+            trace.stalled.as_millis(),
+            took.as_millis(),
+            rejection
+                .retry_after
+                .map_or(0, |after| after.as_millis() as u64),
+            trace.last_failure,
+        );
+    }
+}
--- /dev/null
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -0,0 +1,90 @@
+//! Orders to replicas and their reports, carried out for the placement.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Gateway,
+    client::{self, Question},
+    connection::Error,
+    dialect::{Operation, Order, Ordered, Report},
+};
+use crate::voter::standing::Board;
+
+/// Longest wait for the answer to an order; replicas answer within a few milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Sends an order if this host may still give orders.
+pub async fn send(gateway: Arc<Gateway>, board: Board, address: String, order: Order) -> Ordered {
+    let (method, path, headers, body) = gateway.dialect.order(&order);
+    let question = Question {
+        method,
+        path: path.to_owned(),
+        headers,
+        body,
+    };
+    // Checked last, since the process may have been suspended at any point before.
+    if !board.holds_lease() {
+        return Ordered::Fenced;
+    }
+    let answer = client::ask(&gateway.pool, &address, &question, ORDER_TIMEOUT).await;
+    let outcome = match &answer {
+        Ok((status, _)) => gateway.dialect.ordered(*status),
+        Err(Error::Connect { .. }) => Ordered::Gone,
+        Err(Error::Unsent | Error::Broken { .. }) => Ordered::Unknown,
+    };
+    let operation = name(order.operation);
+    gateway.metrics.order(operation, word(outcome));
+    log::debug!(
+        "event=order operation={operation} address={address} adapter={} version={} expect={} \
+         epoch={} outcome={}",
+        order.adapter,
+        order.version.unwrap_or(0),
+        order.expect,
+        order.epoch,
+        word(outcome),
+    );
+    outcome
+}
+
+/// Asks a replica for its report.
+pub async fn report(gateway: Arc<Gateway>, address: String) -> Option<Report> {
+    let question = Question::get(gateway.dialect.report_path());
+    match client::ask(&gateway.pool, &address, &question, REPORT_TIMEOUT).await {
+        Ok((status, body)) if status.is_success() => match gateway.dialect.report(&body) {
+            Ok(report) => Some(report),
+            Err(reason) => {
+                log::warn!("event=report.invalid address={address} reason={reason:?}");
+                None
+            }
+        },
+        Ok((status, _)) => {
+            log::info!("event=report.refused address={address} status={status}");
+            None
+        }
+        Err(error) => {
+            log::info!("event=report.failed address={address} reason={:?}", error.to_string());
+            None
+        }
+    }
+}
+
+fn name(operation: Operation) -> &'static str {
+    match operation {
+        Operation::Load => "load",
+        Operation::Unload => "unload",
+    }
+}
+
+fn word(outcome: Ordered) -> &'static str {
+    match outcome {
+        Ordered::Accepted => "accepted",
+        Ordered::Holds => "holds",
+        Ordered::Conflict => "conflict",
+        Ordered::Fenced => "fenced",
+        Ordered::Gone => "gone",
+        Ordered::Invalid => "invalid",
+        Ordered::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -0,0 +1,714 @@
+//! Which adapter is loaded on which replica.
+//!
+//! The leader decides for all replicas, from the requests that the gateways count. An adapter that
+//! requests wait for is loaded at once where the least work is expected; one with many requests gets
+//! more replicas; places are kept free by retiring what is asked for least. Nothing here does input
+//! or output: the caller hands events in with the time and carries out the actions.
+
+mod replica;
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+pub use replica::{Adapter, Pending, Replica, Slot, State};
+
+use super::{
+    configuration::Configuration,
+    dialect::{Operation, Ordered, Report},
+    feed::{Demand, Place, Upstream},
+};
+use crate::{heat::Heat, id};
+
+/// Limits and times of the placement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Adapters on their way to one replica at once; the engines' published limit.
+    pub replica_transit: usize,
+    /// Adapters on their way from the store to all replicas at once, at the start.
+    pub store_transit: usize,
+    /// Places of each replica that are kept free.
+    pub spare: usize,
+    /// Part of a replica's slots that one adapter's requests should fill before it gets another.
+    pub home_share: f64,
+    /// Time in which gateways learn that a place is no longer to be used.
+    pub retire_delay: Duration,
+    /// Expected time of a load from the store, until one was seen.
+    pub load_time: Duration,
+    /// Pause before an order that is still being carried out is asked for again.
+    pub check_interval: Duration,
+    /// Age that a report may have, so long after an order it is not believed.
+    pub report_lag: Duration,
+    /// Time after an announcement at which requests may still go to the older version.
+    pub version_grace: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            replica_transit: 4,
+            store_transit: 8,
+            spare: 1,
+            home_share: 0.1,
+            retire_delay: Duration::from_millis(250),
+            load_time: Duration::from_millis(250),
+            check_interval: Duration::from_millis(40),
+            report_lag: Duration::from_millis(600),
+            version_grace: Duration::from_millis(3000),
+        }
+    }
+}
+
+/// Time after which a request counts half for the number of an adapter's replicas.
+const HOT_HALF_LIFE: Duration = Duration::from_millis(1500);
+/// Time after which a request counts half when a place to give up is chosen.
+const KEEP_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Time after which a want that no gateway repeats is dropped.
+const WANT_LIFE: Duration = Duration::from_millis(1500);
+/// Version of an adapter for which none was announced.
+pub const FIRST_VERSION: u64 = 1;
+/// Shortest time for which a loaded adapter is kept.
+const MIN_STAY: Duration = Duration::from_millis(1500);
+/// Time between two decisions on loads when no request waits.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Weight of the newest load time in the mean.
+const MEAN_WEIGHT: u32 = 8;
+/// Load time against the shortest seen at which the store counts as crowded.
+const CROWDED: f64 = 1.6;
+/// Time that a request is taken to run before any was seen.
+const FIRST_RUN_TIME: f64 = 2.0;
+
+/// What the caller must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send an order, and tell its outcome with `ordered`.
+    Order {
+        /// Replica.
+        replica: id::Upstream,
+        /// Number of the order, for the outcome.
+        number: u64,
+        /// What it does.
+        operation: Operation,
+        /// Adapter.
+        adapter: Adapter,
+        /// Version to load.
+        version: Option<u64>,
+        /// Orders that the replica must have accepted.
+        expect: u64,
+    },
+    /// Ask a replica for a report, and tell it with `reported`.
+    Report {
+        /// Replica.
+        replica: id::Upstream,
+    },
+}
+
+/// An adapter that requests wait for.
+#[derive(Clone, Debug)]
+struct Want {
+    since: Instant,
+    heard: Instant,
+    waiting: u32,
+}
+
+/// The placement of all adapters on all replicas.
+#[derive(Debug)]
+pub struct Placement {
+    config: Config,
+    replicas: BTreeMap<id::Upstream, Replica>,
+    capacities: BTreeMap<String, super::configuration::Engine>,
+    wants: BTreeMap<Adapter, Want>,
+    announced: BTreeMap<Adapter, (u64, Instant)>,
+    hot: Heat<Adapter>,
+    keep: Heat<Adapter>,
+    total: Heat<()>,
+    changes: Vec<Place>,
+    next_order: u64,
+    load_time: Duration,
+    best_load_time: Duration,
+    transit_limit: f64,
+    /// When loads are decided next.
+    plan_at: Option<Instant>,
+}
+
+impl Placement {
+    /// Starts with no replica known.
+    pub fn new(config: Config) -> Self {
+        Self {
+            load_time: config.load_time,
+            best_load_time: config.load_time,
+            transit_limit: config.store_transit as f64,
+            config,
+            replicas: BTreeMap::new(),
+            capacities: BTreeMap::new(),
+            wants: BTreeMap::new(),
+            announced: BTreeMap::new(),
+            hot: Heat::new(HOT_HALF_LIFE),
+            keep: Heat::new(KEEP_HALF_LIFE),
+            total: Heat::new(HOT_HALF_LIFE),
+            plan_at: None,
+            changes: Vec::new(),
+            next_order: 1,
+        }
+    }
+
+    /// Takes the sizes of the engines from the configuration.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        let engines = configuration.services.values();
+        self.capacities = engines
+            .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)))
+            .collect();
+        self.size_replicas();
+    }
+
+    fn size_replicas(&mut self) {
+        for replica in self.replicas.values_mut() {
+            let engine = self.capacities.get(&replica.upstream.service);
+            replica.capacity = engine.map_or(0, |engine| {
+                let models = &replica.upstream.models;
+                engine.capacity(|model| models.iter().any(|held| held.name == model))
+            });
+        }
+    }
+
+    /// Takes the platform's list.
+    pub fn list(&mut self, upstreams: &[Upstream], now: Instant) {
+        let listed: BTreeSet<&str> = upstreams.iter().map(|one| one.name.as_str()).collect();
+        self.replicas
+            .retain(|name, _| listed.contains(name.as_str()));
+        for upstream in upstreams {
+            // A plain service holds no models.
+            if upstream.models.is_empty() {
+                continue;
+            }
+            if let Some(known) = self.replicas.get_mut(&upstream.name) {
+                known.upstream.draining = upstream.draining;
+                continue;
+            }
+            let replica = Replica::new(upstream.clone(), now);
+            for (adapter, slot) in &replica.slots {
+                self.changes
+                    .push(place(&upstream.name, adapter, slot.version));
+            }
+            self.replicas.insert(upstream.name.clone(), replica);
+        }
+        self.size_replicas();
+    }
+
+    /// Takes what one gateway has counted.
+    pub fn demand(&mut self, demand: &[Demand], now: Instant) {
+        for one in demand {
+            if one.came > 0 {
+                self.hot.add(&one.adapter, one.came, now);
+                self.keep.add(&one.adapter, one.came, now);
+                self.total.add(&(), one.came, now);
+            }
+            if one.waiting > 0 {
+                let want = self.wants.entry(one.adapter.clone()).or_insert(Want {
+                    since: now,
+                    heard: now,
+                    waiting: 0,
+                });
+                want.heard = now;
+                self.plan_at = None;
+                want.waiting = want.waiting.max(one.waiting);
+            }
+        }
+    }
+
+    /// Takes the open requests of all gateways at a replica.
+    pub fn set_open(&mut self, replica: &str, open: u32) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.open = open;
+        }
+    }
+
+    /// Takes a newly announced version of an adapter.
+    pub fn announce(&mut self, adapter: &str, version: u64, now: Instant) {
+        let known = self.announced.get(adapter);
+        if known.is_none_or(|(known, _)| *known < version) {
+            self.announced.insert(adapter.to_owned(), (version, now));
+        }
+    }
+
+    /// Takes note that a replica says it does not have an adapter.
+    pub fn missing(&mut self, replica: &str, adapter: &str, now: Instant) {
+        let Some(known) = self.replicas.get_mut(replica) else {
+            return;
+        };
+        let ready = |slot: &Slot| slot.state == State::Ready && now > slot.since + MIN_STAY;
+        if known.slots.get(adapter).is_some_and(ready) {
+            known.slots.remove(adapter);
+            self.changes.push(place(replica, adapter, 0));
+            ask_again(known, self.config.report_lag, now);
+        }
+    }
+
+    /// Places that changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<Place> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Every place that requests may be sent to.
+    pub fn places(&self) -> Vec<Place> {
+        let ready = |(name, replica): (&String, &Replica)| -> Vec<Place> {
+            let slots = replica.slots.iter();
+            slots
+                .filter(|(_, slot)| slot.state == State::Ready)
+                .map(|(adapter, slot)| place(name, adapter, slot.version))
+                .collect()
+        };
+        self.replicas.iter().flat_map(ready).collect()
+    }
+
+    /// Replicas, for figures and tests.
+    pub fn replicas(&self) -> &BTreeMap<id::Upstream, Replica> {
+        &self.replicas
+    }
+
+    /// When `tick` has something to do next, if that is known.
+    pub fn next_due(&self) -> Option<Instant> {
+        let due = |replica: &Replica| -> Option<Instant> {
+            if replica.pending.is_some() || replica.reporting || replica.upstream.draining {
+                return None;
+            }
+            if replica.accepted.is_none() {
+                return Some(replica.report_at);
+            }
+            let slots = replica.slots.values();
+            let times = slots.filter_map(|slot| match slot.state {
+                State::Loading { check } | State::Unloading { check } => Some(check),
+                State::Retiring { unload } => Some(unload),
+                State::Planned | State::Ready => None,
+            });
+            times.min()
+        };
+        let due = self.replicas.values().filter_map(due).min();
+        due.into_iter().chain(self.plan_at).min()
+    }
+
+    /// Lets time pass and says what must be done now.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        if self.plan_at.is_none_or(|at| now >= at) {
+            self.plan_at = Some(now + PLAN_INTERVAL);
+            self.wants.retain(|_, want| now < want.heard + WANT_LIFE);
+            let homes = self.homes();
+            self.plan_wanted(&homes, now);
+            self.plan_hot(&homes, now);
+            self.retire_stale(now);
+            self.retire_cold(now);
+        }
+        let mut actions = Vec::new();
+        let mut transit = self.store_transit();
+        let names: Vec<_> = self.replicas.keys().cloned().collect();
+        for name in names {
+            actions.extend(self.act(&name, &mut transit, now));
+        }
+        actions
+    }
+
+    fn store_transit(&self) -> usize {
+        let from_store =
+            |slot: &&Slot| matches!(slot.state, State::Loading { .. }) && !slot.recent;
+        let slots = self.replicas.values().flat_map(|one| one.slots.values());
+        slots.filter(from_store).count()
+    }
+
+    fn newest(&self, adapter: &str) -> u64 {
+        let announced = self.announced.get(adapter);
+        announced.map_or(FIRST_VERSION, |(version, _)| *version)
+    }
+
+    /// Replicas by adapter that have its newest version, or will.
+    fn homes(&self) -> BTreeMap<Adapter, usize> {
+        let mut homes = BTreeMap::new();
+        for replica in self.replicas.values().filter(|one| !one.upstream.draining) {
+            for (adapter, slot) in &replica.slots {
+                let staying = match slot.state {
+                    State::Planned | State::Loading { .. } | State::Ready => true,
+                    State::Retiring { .. } | State::Unloading { .. } => false,
+                };
+                if staying && slot.version >= self.newest(adapter) {
+                    *homes.entry(adapter.clone()).or_default() += 1;
+                }
+            }
+        }
+        homes
+    }
+
+    /// Decides loads of adapters that requests wait for, longest wait first.
+    fn plan_wanted(&mut self, homes: &BTreeMap<Adapter, usize>, now: Instant) {
+        let mut wanted: Vec<(Instant, Adapter)> = self
+            .wants
+            .iter()
+            .filter(|(adapter, _)| !homes.contains_key(*adapter))
+            .map(|(adapter, want)| (want.since, adapter.clone()))
+            .collect();
+        wanted.sort();
+        for (_, adapter) in wanted {
+            self.plan(&adapter, now);
+        }
+        let served = |adapter: &Adapter| homes.contains_key(adapter);
+        self.wants.retain(|adapter, _| !served(adapter));
+    }
+
+    /// Gives adapters with many requests more replicas.
+    fn plan_hot(&mut self, homes: &BTreeMap<Adapter, usize>, now: Instant) {
+        let run_time = self.run_time(now);
+        let slots = self.replicas.values().map(|one| one.upstream.slots).max();
+        let share = (f64::from(slots.unwrap_or(0)) * self.config.home_share).max(1.0);
+        let mut growing = Vec::new();
+        for (adapter, rate) in self.hot.rates(now) {
+            let wanted = (rate * run_time / share).ceil() as usize;
+            let have = homes.get(adapter).copied().unwrap_or(0);
+            if wanted > have && (have > 0 || self.has_any_version(adapter)) {
+                growing.push((adapter.clone(), wanted - have, rate));
+            }
+        }
+        growing.sort_by(|left, right| right.2.total_cmp(&left.2));
+        for (adapter, count, _) in growing {
+            for _ in 0..count {
+                self.plan(&adapter, now);
+            }
+        }
+    }
+
+    fn has_any_version(&self, adapter: &str) -> bool {
+        let mut replicas = self.replicas.values();
+        replicas.any(|one| one.slots.contains_key(adapter))
+    }
+
+    /// Mean time that a request stays at a replica, in seconds (Little's law).
+    fn run_time(&self, now: Instant) -> f64 {
+        let open: u32 = self.replicas.values().map(|one| one.open).sum();
+        let rate = self.total.rate(&(), now);
+        if open == 0 || rate < 1.0 {
+            return FIRST_RUN_TIME;
+        }
+        (f64::from(open) / rate).clamp(0.5, 10.0)
+    }
+
+    /// Decides a load on the replica that expects least work.
+    fn plan(&mut self, adapter: &str, now: Instant) {
+        let model = adapter.split('/').next().unwrap_or(adapter);
+        let expected = self.expected_work(now);
+        let rank = |replica: &Replica| {
+            let load = expected.get(replica.upstream.name.as_str()).copied();
+            let slots = f64::from(replica.upstream.slots.max(1));
+            let open = f64::from(replica.open) / slots;
+            let transit = replica.in_transit() as f64 * 0.05;
+            let recent = if replica.held_recently(adapter) { 0.4 } else { 0.0 };
+            load.unwrap_or(0.0) / slots + open + transit - recent
+        };
+        let fits = |replica: &&Replica| {
+            replica.is_usable()
+                && replica.holds(model)
+                && !replica.slots.contains_key(adapter)
+                && replica.free() > 0
+        };
+        let best = self
+            .replicas
+            .values()
+            .filter(fits)
+            .min_by(|left, right| rank(left).total_cmp(&rank(right)))
+            .map(|replica| replica.upstream.name.clone());
+        let Some(name) = best else {
+            return;
+        };
+        let version = self.newest(adapter);
+        if let Some(replica) = self.replicas.get_mut(&name) {
+            let mut slot = Slot::new(version, State::Planned, now);
+            slot.recent = replica.held_recently(adapter);
+            replica.slots.insert(adapter.to_owned(), slot);
+        }
+    }
+
+    /// Requests that the demand should keep open at each replica.
+    fn expected_work(&self, now: Instant) -> BTreeMap<String, f64> {
+        let run_time = self.run_time(now);
+        let mut counts: BTreeMap<&str, f64> = BTreeMap::new();
+        for replica in self.replicas.values() {
+            for adapter in replica.slots.keys() {
+                *counts.entry(adapter).or_default() += 1.0;
+            }
+        }
+        let work = |replica: &Replica| {
+            let share = |adapter: &Adapter| self.hot.rate(adapter, now) / counts[adapter.as_str()];
+            replica.slots.keys().map(share).sum::<f64>() * run_time
+        };
+        let entry = |replica: &Replica| (replica.upstream.name.clone(), work(replica));
+        self.replicas.values().map(entry).collect()
+    }
+
+    /// Retires places whose version was replaced once enough replicas have the new one.
+    fn retire_stale(&mut self, now: Instant) {
+        let mut retired = Vec::new();
+        for (adapter, (version, at)) in &self.announced {
+            let mut stale = Vec::new();
+            let (mut fresh, mut coming) = (0, 0);
+            for (name, replica) in &self.replicas {
+                match replica.slots.get(adapter) {
+                    Some(slot) if slot.version >= *version => match slot.state {
+                        State::Ready => fresh += 1,
+                        _ => coming += 1,
+                    },
+                    Some(slot) if slot.state == State::Ready => stale.push(name.clone()),
+                    _ => {}
+                }
+            }
+            let late = now > *at + self.config.version_grace;
+            let settled = fresh > 0 && (coming == 0 || fresh >= stale.len());
+            // Where every replica has the old version, one must give it up first.
+            let stuck = fresh + coming == 0 && now > *at + self.config.retire_delay;
+            if settled || late {
+                retired.extend(stale.into_iter().map(|name| (name, adapter.clone())));
+            } else if stuck && let Some(name) = stale.into_iter().next() {
+                retired.push((name, adapter.clone()));
+            }
+        }
+        for (name, adapter) in retired {
+            self.retire(&name, &adapter, now);
+        }
+    }
+
+    /// Keeps places free by retiring what is asked for least.
+    fn retire_cold(&mut self, now: Instant) {
+        let homes = self.homes();
+        let mut retired = Vec::new();
+        for (name, replica) in self.replicas.iter().filter(|(_, one)| one.is_usable()) {
+            let leaving = |slot: &&Slot| {
+                matches!(
+                    slot.state,
+                    State::Retiring { .. } | State::Unloading { .. }
+                )
+            };
+            let free = replica.free() + replica.slots.values().filter(leaving).count();
+            let spare = self.config.spare.min(replica.capacity / 2);
+            let worth = |adapter: &Adapter| {
+                let homes = homes.get(adapter).copied().unwrap_or(1).max(1);
+                self.keep.value(adapter, now) / homes as f64
+            };
+            let settled = |(_, slot): &(&Adapter, &Slot)| {
+                slot.state == State::Ready && now > slot.since + MIN_STAY
+            };
+            let mut ready: Vec<_> = replica.slots.iter().filter(settled).collect();
+            ready.sort_by(|left, right| worth(left.0).total_cmp(&worth(right.0)));
+            let count = spare.saturating_sub(free);
+            let coldest = ready.into_iter().take(count);
+            retired.extend(coldest.map(|(adapter, _)| (name.clone(), adapter.clone())));
+        }
+        for (name, adapter) in retired {
+            self.retire(&name, &adapter, now);
+        }
+    }
+
+    fn retire(&mut self, name: &str, adapter: &str, now: Instant) {
+        let unload = now + self.config.retire_delay;
+        if let Some(replica) = self.replicas.get_mut(name) {
+            replica.set(adapter, State::Retiring { unload }, now);
+            self.changes.push(place(name, adapter, 0));
+        }
+    }
+
+    /// The next step at one replica.
+    fn act(&mut self, name: &str, transit: &mut usize, now: Instant) -> Option<Action> {
+        let limit = self.transit_limit as usize;
+        let config = self.config.clone();
+        let replica = self.replicas.get_mut(name)?;
+        if replica.upstream.draining || replica.pending.is_some() || replica.reporting {
+            return None;
+        }
+        let Some(expect) = replica.accepted else {
+            if now < replica.report_at {
+                return None;
+            }
+            replica.reporting = true;
+            return Some(Action::Report {
+                replica: name.to_owned(),
+            });
+        };
+        let (operation, adapter) = next_order(replica, &config, limit, *transit, now)?;
+        let slot = replica.slots.get(&adapter)?;
+        let planned = slot.state == State::Planned;
+        if planned && !slot.recent {
+            *transit += 1;
+        }
+        let named = operation == Operation::Load && slot.version > FIRST_VERSION;
+        let version = named.then_some(slot.version);
+        let number = self.next_order;
+        self.next_order += 1;
+        replica.pending = Some(Pending {
+            number,
+            operation,
+            adapter: adapter.clone(),
+        });
+        Some(Action::Order {
+            replica: name.to_owned(),
+            number,
+            operation,
+            adapter,
+            version,
+            expect,
+        })
+    }
+
+    /// Takes the outcome of an order.
+    pub fn ordered(&mut self, name: &str, number: u64, outcome: Ordered, now: Instant) {
+        let Some(replica) = self.replicas.get_mut(name) else {
+            return;
+        };
+        let Some(pending) = replica.pending.take_if(|pending| pending.number == number) else {
+            return;
+        };
+        match outcome {
+            Ordered::Accepted | Ordered::Holds => self.carried_out(name, &pending, outcome, now),
+            Ordered::Conflict => ask_again(replica, self.config.report_lag, now),
+            // The order may still be carried out, so its place stays taken and it is repeated.
+            Ordered::Unknown | Ordered::Fenced => {}
+            Ordered::Gone => {
+                replica.accepted = None;
+                replica.report_at = now + self.config.report_lag;
+            }
+            Ordered::Invalid => {
+                replica.remove(&pending.adapter);
+                self.changes.push(place(name, &pending.adapter, 0));
+            }
+        }
+    }
+
+    fn carried_out(&mut self, name: &str, pending: &Pending, outcome: Ordered, now: Instant) {
+        let Some(replica) = self.replicas.get_mut(name) else {
+            return;
+        };
+        let check = now + self.config.check_interval;
+        let Some(slot) = replica.slots.get(&pending.adapter).cloned() else {
+            return;
+        };
+        let first = matches!(slot.state, State::Planned | State::Retiring { .. });
+        if outcome == Ordered::Accepted && first {
+            replica.accepted = replica.accepted.map(|accepted| accepted + 1);
+        }
+        match (pending.operation, outcome) {
+            (Operation::Load, Ordered::Holds) => {
+                let loading = matches!(slot.state, State::Loading { .. });
+                replica.set(&pending.adapter, State::Ready, now);
+                self.changes
+                    .push(place(name, &pending.adapter, slot.version));
+                if loading && !slot.recent {
+                    self.note_load_time(now.duration_since(slot.since));
+                }
+            }
+            (Operation::Load, _) if first => {
+                let wait = if slot.recent {
+                    self.load_time / 10
+                } else {
+                    self.load_time
+                };
+                let check = now + wait;
+                replica.set(&pending.adapter, State::Loading { check }, now);
+            }
+            (Operation::Load, _) => {
+                if let Some(slot) = replica.slots.get_mut(&pending.adapter) {
+                    slot.state = State::Loading { check };
+                }
+            }
+            (Operation::Unload, Ordered::Holds) => {
+                replica.remove(&pending.adapter);
+            }
+            (Operation::Unload, _) => {
+                replica.set(&pending.adapter, State::Unloading { check }, now);
+            }
+        }
+    }
+
+    /// Learns the store's speed, and how many loads at once keep it.
+    fn note_load_time(&mut self, time: Duration) {
+        self.load_time = (self.load_time * (MEAN_WEIGHT - 1) + time) / MEAN_WEIGHT;
+        self.best_load_time = self.best_load_time.min(time);
+        let most = self.config.store_transit as f64 * 8.0;
+        if time.as_secs_f64() > self.best_load_time.as_secs_f64() * CROWDED {
+            self.transit_limit = (self.transit_limit * 0.9).max(2.0);
+        } else {
+            self.transit_limit = (self.transit_limit + 0.1).min(most);
+        }
+    }
+
+    /// Takes a report, or that there was none.
+    pub fn reported(&mut self, name: &str, report: Option<&Report>, now: Instant) {
+        let config = self.config.clone();
+        let Some(replica) = self.replicas.get_mut(name) else {
+            return;
+        };
+        let Some(report) = report else {
+            replica.reporting = false;
+            replica.report_at = now + config.report_lag;
+            return;
+        };
+        let before = ready_places(name, replica);
+        replica.take_report(report, config.check_interval, now);
+        let after = ready_places(name, replica);
+        let gone = before.iter().filter(|one| !after.contains(one));
+        let gone = gone.filter(|one| after.iter().all(|other| other.adapter != one.adapter));
+        let mut changes: Vec<Place> = gone.map(|one| place(name, &one.adapter, 0)).collect();
+        changes.extend(after.iter().filter(|one| !before.contains(one)).cloned());
+        self.changes.extend(changes);
+    }
+}
+
+fn ready_places(name: &str, replica: &Replica) -> Vec<Place> {
+    let ready = replica.slots.iter();
+    ready
+        .filter(|(_, slot)| slot.state == State::Ready)
+        .map(|(adapter, slot)| place(name, adapter, slot.version))
+        .collect()
+}
+
+fn ask_again(replica: &mut Replica, lag: Duration, now: Instant) {
+    replica.accepted = None;
+    replica.report_at = now + lag;
+}
+
+fn place(replica: &str, adapter: &str, version: u64) -> Place {
+    Place {
+        replica: replica.to_owned(),
+        adapter: adapter.to_owned(),
+        version,
+    }
+}
+
+/// The order that a replica needs next: checks that are due, then loads, then unloads.
+fn next_order(
+    replica: &Replica,
+    config: &Config,
+    limit: usize,
+    transit: usize,
+    now: Instant,
+) -> Option<(Operation, Adapter)> {
+    let due = |slot: &Slot| match slot.state {
+        State::Loading { check } if now >= check => Some(Operation::Load),
+        State::Unloading { check } if now >= check => Some(Operation::Unload),
+        _ => None,
+    };
+    let mut slots = replica.slots.iter();
+    if let Some((adapter, operation)) = slots.find_map(|(name, slot)| Some((name, due(slot)?))) {
+        return Some((operation, adapter.clone()));
+    }
+    let planned = |slot: &Slot| slot.state == State::Planned;
+    let present = replica.slots.values().filter(|slot| !planned(slot)).count();
+    if present < replica.capacity && replica.in_transit() < config.replica_transit {
+        let may_load = |slot: &Slot| planned(slot) && (slot.recent || transit < limit);
+        let loads = replica.slots.iter().filter(|(_, slot)| may_load(slot));
+        if let Some((adapter, _)) = loads.min_by_key(|(_, slot)| slot.since) {
+            return Some((Operation::Load, adapter.clone()));
+        }
+    }
+    let retired = |slot: &Slot| matches!(slot.state, State::Retiring { unload } if now >= unload);
+    let mut slots = replica.slots.iter();
+    let (adapter, _) = slots.find(|(_, slot)| retired(slot))?;
+    Some((Operation::Unload, adapter.clone()))
+}
--- /dev/null
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -0,0 +1,206 @@
+//! One replica as the placement sees it: its places for adapters and the orders under way.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::gateway::{
+    dialect::{Operation, Report},
+    feed::Upstream,
+};
+
+/// Adapter as MODEL/NAME.
+pub type Adapter = String;
+
+/// Adapters that a replica is taken to load fast because it held them recently.
+const RECENT: usize = 64;
+
+/// What happens in one place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The load is decided and not yet ordered.
+    Planned,
+    /// The load was accepted; it is asked again when it should have ended.
+    Loading {
+        /// When it is asked again.
+        check: Instant,
+    },
+    /// Requests may be sent.
+    Ready,
+    /// No new requests are sent; it is unloaded when all gateways know.
+    Retiring {
+        /// When the unload is ordered.
+        unload: Instant,
+    },
+    /// The unload was accepted and waits for running requests; it is asked again.
+    Unloading {
+        /// When it is asked again.
+        check: Instant,
+    },
+}
+
+/// One adapter on a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Slot {
+    /// Version; zero while it is unknown which one is loaded.
+    pub version: u64,
+    /// What happens there.
+    pub state: State,
+    /// When the state began.
+    pub since: Instant,
+    /// Whether the load is fast because the replica held the adapter recently.
+    pub recent: bool,
+}
+
+/// An order that has not been answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pending {
+    /// Its number.
+    pub number: u64,
+    /// What it does.
+    pub operation: Operation,
+    /// Adapter.
+    pub adapter: Adapter,
+}
+
+/// One replica.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// Entry of the list.
+    pub upstream: Upstream,
+    /// Adapters that fit.
+    pub capacity: usize,
+    /// Orders that it has accepted; unknown until it has reported.
+    pub accepted: Option<u64>,
+    /// When it is asked for a report.
+    pub report_at: Instant,
+    /// Whether a report is under way.
+    pub reporting: bool,
+    /// Adapters that are there, come or go.
+    pub slots: BTreeMap<Adapter, Slot>,
+    /// The order under way.
+    pub pending: Option<Pending>,
+    /// Requests that all gateways have open there.
+    pub open: u32,
+    /// Adapters that were unloaded here, newest last.
+    recent: VecDeque<Adapter>,
+}
+
+impl Replica {
+    /// Makes a replica of which only the list's entry is known.
+    pub fn new(upstream: Upstream, now: Instant) -> Self {
+        let slot = |version| Slot {
+            version,
+            state: State::Ready,
+            since: now,
+            recent: false,
+        };
+        let adapters = upstream.models.iter().flat_map(|model| &model.adapters);
+        let slots = adapters
+            .map(|one| (one.adapter.clone(), slot(one.version)))
+            .collect();
+        Self {
+            upstream,
+            capacity: 0,
+            accepted: None,
+            report_at: now,
+            reporting: false,
+            slots,
+            pending: None,
+            open: 0,
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Whether it can be given an adapter of a base model.
+    pub fn holds(&self, model: &str) -> bool {
+        let mut models = self.upstream.models.iter();
+        models.any(|held| held.name == model)
+    }
+
+    /// Whether orders make sense.
+    pub fn is_usable(&self) -> bool {
+        !self.upstream.draining && self.accepted.is_some()
+    }
+
+    /// Places that are free, counting decided loads as taken.
+    pub fn free(&self) -> usize {
+        self.capacity.saturating_sub(self.slots.len())
+    }
+
+    /// Adapters on their way.
+    pub fn in_transit(&self) -> usize {
+        let loading = |slot: &&Slot| matches!(slot.state, State::Loading { .. });
+        self.slots.values().filter(loading).count()
+    }
+
+    /// Whether it held an adapter recently, so that a load is fast.
+    pub fn held_recently(&self, adapter: &str) -> bool {
+        self.recent.iter().any(|known| known == adapter)
+    }
+
+    /// Takes an adapter out.
+    pub fn remove(&mut self, adapter: &str) -> Option<Slot> {
+        let slot = self.slots.remove(adapter)?;
+        if !matches!(slot.state, State::Planned) {
+            self.recent.retain(|known| known != adapter);
+            self.recent.push_back(adapter.to_owned());
+            if self.recent.len() > RECENT {
+                self.recent.pop_front();
+            }
+        }
+        Some(slot)
+    }
+
+    /// Sets the state of a place.
+    pub fn set(&mut self, adapter: &str, state: State, now: Instant) {
+        if let Some(slot) = self.slots.get_mut(adapter) {
+            slot.state = state;
+            slot.since = now;
+        }
+    }
+
+    /// Takes a report: what it names is there, and what it does not name is not.
+    ///
+    /// Decided loads stay decided. A place that gateways were told to avoid stays so.
+    pub fn take_report(&mut self, report: &Report, check: Duration, now: Instant) {
+        self.reporting = false;
+        self.accepted = Some(report.accepted);
+        let mut slots = BTreeMap::new();
+        for one in &report.adapters {
+            let known = self.slots.get(&one.adapter);
+            let retiring =
+                known.is_some_and(|slot| matches!(slot.state, State::Retiring { .. }));
+            let state = match known {
+                Some(slot) if retiring => slot.state,
+                _ => State::Ready,
+            };
+            slots.insert(one.adapter.clone(), Slot::new(one.version, state, now));
+        }
+        for one in &report.coming {
+            let state = State::Loading { check: now + check };
+            slots.insert(one.adapter.clone(), Slot::new(one.version, state, now));
+        }
+        for (adapter, slot) in &self.slots {
+            if slot.state == State::Planned && !slots.contains_key(adapter) {
+                slots.insert(adapter.clone(), slot.clone());
+            }
+        }
+        self.slots = slots;
+    }
+}
+
+impl Slot {
+    /// Makes a place whose state begins now.
+    pub fn new(version: u64, state: State, now: Instant) -> Self {
+        Self {
+            version,
+            state,
+            since: now,
+            recent: false,
+        }
+    }
+}
--- a/crates/tanagershift/src/holder/mod.rs
+++ b/crates/tanagershift/src/holder/mod.rs
@@ -1,7 +1,6 @@
 //! The duty of a holder: the only one that gives a replica orders and adapter requests.
 //!
 //! * `replica`: decisions for one replica.
-//! * `heat`: how often each adapter is asked for.
 //! * `engine`: the engine's published interfaces.
 //! * `answer`: checks that an answer is the one that was asked for.
 //! * `exchange`: one request on the engine.
@@ -11,7 +10,6 @@
 pub mod driver;
 pub mod engine;
 pub mod exchange;
-pub mod heat;
 pub mod replica;
 #[cfg(test)]
 mod tests;
--- a/crates/tanagershift/src/holder/replica.rs
+++ b/crates/tanagershift/src/holder/replica.rs
@@ -9,11 +9,13 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
-use super::{Config, heat::Heat};
-use crate::id;
+use super::Config;
+use crate::{heat::Heat, id};
 
 /// First pause after a load that failed.
 const LOAD_RETRY: Duration = Duration::from_millis(200);
+/// Time after which a request counts half when an adapter to unload is chosen.
+const HEAT_HALF_LIFE: Duration = Duration::from_secs(300);
 /// Weight of the newest observation in a mean time.
 const MEAN_WEIGHT: u32 = 8;
 /// Shortest time after which a refused caller is told to come back.
@@ -195,7 +197,7 @@
     waiting: VecDeque<Waiting>,
     running: BTreeMap<Ticket, Running>,
     failures: BTreeMap<Target, Failure>,
-    heat: Heat,
+    heat: Heat<Target>,
     asked: usize,
     orders: usize,
     /// Loads ordered under this epoch; makes each name unique.
@@ -218,7 +220,7 @@
             waiting: VecDeque::new(),
             running: BTreeMap::new(),
             failures: BTreeMap::new(),
-            heat: Heat::default(),
+            heat: Heat::new(HEAT_HALF_LIFE),
             asked: 0,
             orders: 0,
             loads: 0,
@@ -367,7 +369,7 @@
                 retry_after,
             }];
         }
-        self.heat.add(&request.target, now);
+        self.heat.add(&request.target, 1, now);
         let waiting = Waiting {
             request,
             since: now,
--- a/crates/tanagershift/src/lib.rs
+++ b/crates/tanagershift/src/lib.rs
@@ -5,12 +5,15 @@
 
 pub mod admin;
 pub mod catalog;
+pub mod clock;
 pub mod completion;
 pub mod daemon;
 pub mod entry;
 pub mod event;
 pub mod follower;
 pub mod holder;
+pub mod gateway;
+pub mod heat;
 pub mod host;
 pub mod id;
 pub mod ini;
--- a/crates/tanagershift/src/metrics.rs
+++ b/crates/tanagershift/src/metrics.rs
@@ -14,7 +14,7 @@
 use crate::{holder::replica::Replica, verdict::Verdict};
 
 /// Bounds of times in seconds.
-const SECONDS: [f64; 14] = [
+pub const SECONDS: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
 ];
 
--- a/crates/tanagershift/src/quorum/disk.rs
+++ b/crates/tanagershift/src/quorum/disk.rs
@@ -3,8 +3,9 @@
 //! A log file is a sequence of records. Each record has a header of four little-endian words
 //! (magic, length, checksum of the payload, checksum of the header) and a payload. One record is
 //! written and synced at a time, so only the last can be incomplete after a crash; it is cut off.
-//! After each sync a seal is added without a sync of its own. It tells damage of a synced record,
-//! which is refused, from an incomplete one.
+//! After each sync a seal is added without a sync of its own. Records and seals name the offset up
+//! to which the file was synced when they were written. That tells damage of a synced record, which
+//! is refused, from unsynced writes of which a power loss may keep any subset.
 
 use std::{
     fs::{self, File, OpenOptions},
@@ -95,6 +96,10 @@
     /// Marks that everything before this record was synced.
     #[prost(bool, tag = "4")]
     seal: bool,
+    /// Offset up to which the file was synced when this record was written, plus one; zero in
+    /// files of earlier versions, which say no more than that the record follows synced ones.
+    #[prost(uint64, tag = "5")]
+    synced: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -112,6 +117,8 @@
     folder: PathBuf,
     log: File,
     length: u64,
+    /// Bytes of the log file that are known to be synced.
+    synced: u64,
     _lock: File,
 }
 
@@ -209,6 +216,7 @@
             folder: folder.to_owned(),
             log,
             length,
+            synced: length,
             _lock: lock,
         };
         Ok((disk, recovered))
@@ -228,6 +236,7 @@
         let record = Record {
             ballot,
             entries,
+            synced: self.synced + 1,
             ..Record::default()
         };
         let mut bytes = frame(&record);
@@ -237,7 +246,8 @@
             .and_then(|()| self.log.sync_data())
             .context(IoSnafu { path: &path })?;
         self.length += bytes.len() as u64;
-        bytes = frame(&seal());
+        self.synced = self.length;
+        bytes = frame(&seal(self.synced));
         self.log
             .write_all(&bytes)
             .context(IoSnafu { path: &path })?;
@@ -257,7 +267,7 @@
             ballot: Some(ballot),
             entries: log.entries().cloned().collect(),
             base: Some(Base { index, term }),
-            seal: false,
+            ..Record::default()
         };
         let path = self.folder.join(LOG);
         let bytes = frame(&record);
@@ -267,13 +277,30 @@
             .open(&path)
             .context(IoSnafu { path: &path })?;
         self.length = bytes.len() as u64;
+        self.synced = self.length;
         Ok(())
     }
 }
 
-fn seal() -> Record {
+/// Removes every file of a data folder, so that its owner joins under a new identity.
+///
+/// # Errors
+///
+/// The folder cannot be read, or a file cannot be removed.
+pub fn erase(folder: &Path) -> Result<(), Error> {
+    let remove = || {
+        for entry in fs::read_dir(folder)? {
+            fs::remove_file(entry?.path())?;
+        }
+        File::open(folder)?.sync_all()
+    };
+    remove().context(IoSnafu { path: folder })
+}
+
+fn seal(synced: u64) -> Record {
     Record {
         seal: true,
+        synced: synced + 1,
         ..Record::default()
     }
 }
@@ -334,8 +361,8 @@
             reason,
         };
         let Found::Record(payload) = read_frame(&bytes, offset) else {
-            if any_record_after(&bytes, offset + 1) {
-                return Err(damaged("synced records follow it"));
+            if was_synced(&bytes, offset) {
+                return Err(damaged("it was synced, as a later record says"));
             }
             let cut = bytes.len() - offset;
             emit!(TAIL_CUT, "{}: cut {cut} bytes at the end", path.display());
@@ -349,15 +376,22 @@
     Ok((records, offset as u64))
 }
 
-fn any_record_after(bytes: &Bytes, from: usize) -> bool {
+/// Whether a record after an offset says that the byte at the offset was synced.
+fn was_synced(bytes: &Bytes, offset: usize) -> bool {
     let magic = MAGIC.to_le_bytes();
+    let from = offset + 1;
     let starts = bytes[from..]
         .windows(magic.len())
         .enumerate()
         .filter(|(_, window)| **window == magic);
-    starts
-        .map(|(at, _)| from + at)
-        .any(|at| matches!(read_frame(bytes, at), Found::Record(_)))
+    let says_synced = |at: usize| {
+        let Found::Record(payload) = read_frame(bytes, at) else {
+            return false;
+        };
+        let record = Record::decode(payload);
+        record.is_ok_and(|record| record.synced == 0 || record.synced > offset as u64 + 1)
+    };
+    starts.map(|(at, _)| from + at).any(says_synced)
 }
 
 fn replay(path: &Path, records: Vec<Record>, snapshot: Snapshot) -> Result<Recovered, Error> {
--- a/crates/tanagershift/src/quorum/disk_tests.rs
+++ b/crates/tanagershift/src/quorum/disk_tests.rs
@@ -90,6 +90,30 @@
     }
 }
 
+/// A power loss may keep a later unsynced write and lose an earlier one.
+#[test]
+fn an_unsynced_record_behind_a_lost_seal_is_cut() {
+    let folder = tempfile::tempdir().unwrap();
+    with_entries(folder.path(), 2);
+    let path = folder.path().join("log");
+    let two = fs::read(&path).unwrap();
+    let magic = 0x7461_6e31_u32.to_le_bytes();
+    let seal = two.windows(4).rposition(|window| window == magic).unwrap();
+    let mut disk = reopen(folder.path()).unwrap().0;
+    disk.append(None, vec![entry(3, 1)]).unwrap();
+    drop(disk);
+    let three = fs::read(&path).unwrap();
+    let mut lost = three.clone();
+    lost[seal..two.len()].fill(0);
+    // The record says that only the bytes before the seal were synced when it was written, so
+    // its own sync cannot have ended.
+    let next_seal = three.windows(4).rposition(|window| window == magic).unwrap();
+    lost.truncate(next_seal);
+    fs::write(&path, &lost).unwrap();
+    let (_, recovered) = reopen(folder.path()).unwrap();
+    assert_eq!(recovered.log.last_index(), 2);
+}
+
 #[test]
 fn damage_of_a_synced_record_is_refused_at_every_byte() {
     let folder = tempfile::tempdir().unwrap();
@@ -97,8 +121,9 @@
     let path = folder.path().join("log");
     let good = fs::read(&path).unwrap();
     // All but the last seal is known to have been synced.
-    let seal = 16 + 2;
-    for at in 0..good.len() - seal {
+    let magic = 0x7461_6e31_u32.to_le_bytes();
+    let seal = good.windows(4).rposition(|window| window == magic).unwrap();
+    for at in 0..seal {
         let mut bad = good.clone();
         bad[at] ^= 0x40;
         fs::write(&path, &bad).unwrap();
--- a/crates/tanagershift/src/quorum/node/membership.rs
+++ b/crates/tanagershift/src/quorum/node/membership.rs
@@ -11,7 +11,7 @@
 
 /// Entries that a member may lack when it is made a voter.
 const PROMOTE_LAG: u64 = 16;
-/// Election times of silence after which a voter with a twin on its host is taken for replaced.
+/// Election times without an answer after which a member counts as silent.
 const SILENT_ELECTIONS: u32 = 3;
 
 impl Node {
@@ -29,6 +29,7 @@
                 matched: 0,
                 next,
                 acked: None,
+                round: 0,
                 installing: None,
             });
         }
@@ -111,8 +112,8 @@
             for member in &mut members.members {
                 member.voter |= member.id == id;
             }
-        } else if let Some(replaced) = self.replaced(now) {
-            members.members.retain(|member| member.id != replaced);
+        } else if let Some(gone) = self.replaced(now).or_else(|| self.surplus(now)) {
+            members.members.retain(|member| member.id != gone);
         } else {
             return;
         }
@@ -122,20 +123,36 @@
 
     /// A silent voter whose host has another voter: its data folder was lost and replaced.
     pub(super) fn replaced(&self, now: Instant) -> Option<id::Member> {
-        let Role::Leader(leadership) = &self.role else {
-            return None;
-        };
         let voters = || self.members.members.iter().filter(|member| member.voter);
-        let silence = self.config.election * SILENT_ELECTIONS;
-        let is_silent = |member: id::Member| {
-            let progress = leadership.progress.get(&member);
-            let heard = progress.map(|progress| progress.acked.unwrap_or(leadership.began));
-            heard.is_some_and(|heard| now.saturating_duration_since(heard) > silence)
-        };
         let has_twin = |member: &&Member| {
             voters().any(|other| other.host == member.host && other.id != member.id)
         };
-        let replaced = voters().find(|member| has_twin(member) && is_silent(member.id));
+        let replaced = voters().find(|member| has_twin(member) && self.is_silent(member.id, now));
         replaced.map(|member| member.id)
     }
+
+    /// A silent member that the group can do without: one that does not vote, or a voter beside
+    /// enough others that answer.
+    fn surplus(&self, now: Instant) -> Option<id::Member> {
+        if self.config.keep_voters == 0 {
+            return None;
+        }
+        let silent = |member: &&Member| self.is_silent(member.id, now);
+        let responsive = self.voters().filter(|id| !self.is_silent(*id, now)).count();
+        let members = self.members.members.iter();
+        let mut dispensable =
+            members.filter(|member| !member.voter || responsive >= self.config.keep_voters);
+        dispensable.find(silent).map(|member| member.id)
+    }
+
+    /// Whether a member has not answered for several election times.
+    fn is_silent(&self, member: id::Member, now: Instant) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let silence = self.config.election * SILENT_ELECTIONS;
+        let progress = leadership.progress.get(&member);
+        let heard = progress.map(|progress| progress.acked.unwrap_or(leadership.began));
+        heard.is_some_and(|heard| now.saturating_duration_since(heard) > silence)
+    }
 }
--- a/crates/tanagershift/src/quorum/node/mod.rs
+++ b/crates/tanagershift/src/quorum/node/mod.rs
@@ -40,6 +40,8 @@
     pub election: Duration,
     /// Percent by which two hosts' clocks may run apart.
     pub drift_percent: u32,
+    /// Responsive voters that must remain when a silent one is dropped; zero keeps silent voters.
+    pub keep_voters: usize,
 }
 
 impl Default for Config {
@@ -48,6 +50,7 @@
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(1000),
             drift_percent: 10,
+            keep_voters: 0,
         }
     }
 }
@@ -108,8 +111,10 @@
 struct Progress {
     matched: id::Index,
     next: id::Index,
-    /// Round of the newest answer, and when that round began.
+    /// When the round of the newest answer began.
     acked: Option<Instant>,
+    /// Newest round that it answered.
+    round: u64,
     /// Offset of the snapshot part under way.
     installing: Option<usize>,
 }
@@ -437,6 +442,40 @@
         Ok(())
     }
 
+    /// Starts a heartbeat round and returns its number.
+    ///
+    /// Once `is_confirmed` holds for the round, this member was still the leader when it began, so
+    /// the state committed by then is the newest.
+    ///
+    /// # Errors
+    ///
+    /// This member does not lead, or cannot serve yet.
+    pub fn begin_confirmation(&mut self, now: Instant) -> Result<u64, Refusal> {
+        self.check_leader()?;
+        self.heartbeat(now);
+        match &self.role {
+            Role::Leader(leadership) => Ok(leadership.round),
+            _ => Err(Refusal::NotLeader),
+        }
+    }
+
+    /// Whether a majority of the voters has answered a round of this leader.
+    pub fn is_confirmed(&self, round: u64) -> bool {
+        let Role::Leader(leadership) = &self.role else {
+            return false;
+        };
+        let answered = |member: id::Member| {
+            let progress = leadership.progress.get(&member);
+            member == self.id || progress.is_some_and(|progress| progress.round >= round)
+        };
+        self.is_majority(answered)
+    }
+
+    /// When this member last heard from a leader.
+    pub fn heard(&self) -> Instant {
+        self.heard
+    }
+
     fn replicate_all(&mut self) {
         let Role::Leader(leadership) = &self.role else {
             return;
@@ -560,6 +599,7 @@
             .map(|(_, began)| *began);
         let progress = leadership.progress.get_mut(&from)?;
         progress.acked = progress.acked.max(began);
+        progress.round = progress.round.max(round);
         Some(progress)
     }
 
--- a/crates/tanagershift/src/settings.rs
+++ b/crates/tanagershift/src/settings.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     catalog::check_name,
-    entry, holder, id,
+    entry, gateway, holder, id,
     ini::{self, Section},
     quorum,
     voter::{lease, permit},
@@ -35,6 +35,8 @@
     pub store: permit::Config,
     /// The platform's list.
     pub platform: Platform,
+    /// The duty of a gateway, if the host has it.
+    pub gateway: Option<gateway::settings::Config>,
 }
 
 /// Who and where the host is.
@@ -65,6 +67,13 @@
     pub lease: lease::Config,
     /// Times of the voters.
     pub times: quorum::Config,
+    /// Hosts where the search for the group starts, when the voters are not named. Only their IP
+    /// numbers count; the port is that of this host's peer address.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Voters that may be lost at once.
+    pub tolerance: usize,
 }
 
 /// The duty of a voter.
@@ -128,6 +137,8 @@
         let holder = holder::Config::parse(or_empty(section("holder"), "holder"))?;
         let store = parse_store(or_empty(section("store"), "store"))?;
         let platform = Platform::parse(or_empty(section("platform"), "platform"))?;
+        let gateway = section("gateway");
+        let gateway = gateway.map(gateway::settings::Config::parse).transpose()?;
         if let Some(unknown) = sections.first() {
             let line = Some(unknown.line);
             return Err(unknown.error("section", line, "unknown section"));
@@ -140,6 +151,7 @@
             holder,
             store,
             platform,
+            gateway,
         })
     }
 
@@ -201,6 +213,10 @@
     text.split(',').map(parse).collect()
 }
 
+fn socket_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+    text.split(',').map(|part| address(part.trim())).collect()
+}
+
 fn percent(text: &str) -> Result<u32, String> {
     match text.strip_suffix('%').and_then(|text| text.parse().ok()) {
         Some(number) if number < 50 => Ok(number),
@@ -223,8 +239,11 @@
         section.read("token-file", &mut host.token_file, path)?;
         section.read("drain", &mut host.drain, ini::duration)?;
         section.read("balancer", &mut host.balancer, ini::duration)?;
-        if host.token_file.is_none() && !host.peer.ip().is_loopback() {
-            let reason = "must be given when peer is not a loopback address";
+        let mut private = false;
+        section.read("private-network", &mut private, ini::flag)?;
+        if host.token_file.is_none() && !private && !host.peer.ip().is_loopback() {
+            let reason =
+                "must be given when peer is not a loopback address, unless private-network = yes";
             return Err(section.error("token-file", None, reason));
         }
         section.finish()?;
@@ -234,10 +253,18 @@
 
 impl Group {
     fn parse(mut section: Section) -> Result<Self, ini::Error> {
-        let mut group = Self {
-            voters: require(&mut section, "voters", addresses)?,
-            ..Self::default()
+        let mut group = Self::default();
+        section.read("voters", &mut group.voters, addresses)?;
+        section.read("seeds", &mut group.seeds, socket_addresses)?;
+        if group.voters.is_empty() && group.seeds.is_empty() {
+            return Err(section.error("voters", None, "is missing"));
+        }
+        section.read("bootstrap", &mut group.bootstrap, ini::flag)?;
+        let count = |text: &str| {
+            let number: Result<usize, _> = text.parse();
+            number.map_err(|_| format!("`{text}` is not a number"))
         };
+        section.read("tolerance", &mut group.tolerance, count)?;
         section.read("lease", &mut group.lease.lease, ini::duration)?;
         section.read("heartbeat", &mut group.times.heartbeat, ini::duration)?;
         section.read("election", &mut group.times.election, ini::duration)?;
--- a/crates/tanagershift/src/voter/command.rs
+++ b/crates/tanagershift/src/voter/command.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub at: u64,
     /// What is decided.
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub order: Option<Order>,
 }
 
@@ -39,6 +39,36 @@
     /// Adds or removes a member; carried out by the leader, recorded here.
     #[prost(message, tag = "7")]
     Member(MemberChange),
+    /// Replaces the routing configuration if its version is higher than the accepted one.
+    #[prost(message, tag = "8")]
+    Configure(Document),
+    /// Names a new version of an adapter's weights.
+    #[prost(message, tag = "9")]
+    Announce(Announcement),
+}
+
+/// A whole routing configuration as the operator sent it.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Document {
+    /// Its version; the highest wins.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The text, which the reader has checked before it was proposed.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub text: Bytes,
+}
+
+/// A version of an adapter's weights that requests must run on.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Announcement {
+    /// Adapter.
+    #[prost(string, tag = "1")]
+    pub adapter: String,
+    /// Version; the highest wins.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 
 /// New holders of replicas.
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     fs::File,
     path::PathBuf,
+    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -12,7 +13,7 @@
 use snafu::Snafu;
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{Instant, sleep_until},
+    time::{Instant, timeout_at},
 };
 
 use super::{
@@ -22,11 +23,12 @@
     lease::{self, Leases},
     permit::{self, Permits},
     report,
+    standing::{Board, Standing},
     state::State,
 };
 use crate::{
     catalog::Item,
-    emit, id,
+    clock, emit, id,
     link::{Pool, Responder},
     platform::List,
     quorum::{
@@ -49,11 +51,15 @@
 const LOG_GROWTH: u64 = 16 << 20;
 /// Term of the first leader of a group.
 const FIRST_TERM: id::Term = 1;
+/// Question for the accepted routing configuration, confirmed by a majority.
+pub const DOCUMENT: &str = "document";
+/// Pause before files that failed are opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 /// Time between two decisions on assignments.
 const ASSIGN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a voter is made of.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Host that it runs on.
     pub host: id::Host,
@@ -71,6 +77,8 @@
     pub snapshot_every: u64,
     /// Seed of the election times and the identity.
     pub seed: u64,
+    /// Whether the voter opens its files again after they failed, rather than end.
+    pub reopen: bool,
 }
 
 /// Why a voter ended.
@@ -104,9 +112,15 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     inputs: mpsc::Sender<Input>,
+    board: Board,
 }
 
 impl Handle {
+    /// What the voter tells of itself.
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
     /// Hands a message to the voter; one that finds no room is as good as lost.
     pub fn take(&self, body: Body, responder: Responder) {
         // A responder that is dropped tells its opener to ask again.
@@ -169,6 +183,10 @@
     snapshotted: id::Index,
     /// Bytes of the log file at which a snapshot is written.
     log_limit: u64,
+    board: Board,
+    announced: Arc<BTreeMap<String, u64>>,
+    /// Readers of the configuration, each with the round that must be confirmed first.
+    reading: Vec<(u64, Responder)>,
 }
 
 /// Starts a voter; the future ends when its files fail.
@@ -181,39 +199,96 @@
     pool: Pool,
     list: watch::Receiver<List>,
 ) -> Result<(Handle, impl Future<Output = Error>), Error> {
-    let seed = config.seed;
-    let (lock, identity) = Disk::identify(&config.data, || seed.max(1))?;
-    let (inputs, queue) = mpsc::channel(QUEUE);
+    // A folder that cannot be used is told at the start, where a person reads it.
+    if !config.reopen {
+        Disk::identify(&config.data, || config.seed.max(1))?;
+    }
+    let (inputs, mut queue) = mpsc::channel(QUEUE);
+    let board = Board::default();
+    let handle = Handle {
+        inputs,
+        board: board.clone(),
+    };
     let run = async move {
-        match run(config, lock, identity, pool, list, queue).await {
-            Ok(never) => match never {},
-            Err(error) => {
-                emit!(STORAGE_FAILED, "{error}");
-                error
+        loop {
+            let error = match run(&config, &pool, &list, &mut queue, &board).await {
+                Ok(never) => match never {},
+                Err(error) => error,
+            };
+            emit!(STORAGE_FAILED, "{error}");
+            board.publish(Standing::default());
+            if !config.reopen {
+                return error;
             }
+            recover(&config, &error);
+            refuse_for(REOPEN_PAUSE, &mut queue).await;
         }
     };
-    Ok((Handle { inputs }, run))
+    Ok((handle, run))
+}
+
+/// Empties a data folder whose damage keeps its owner from voting under the old identity.
+fn recover(config: &Config, error: &Error) {
+    let Error::Disk {
+        source: disk::Error::Damaged { .. },
+    } = error
+    else {
+        return;
+    };
+    match disk::erase(&config.data) {
+        Ok(()) => emit!(ERASED, "{}: joins as a new member", config.data.display()),
+        Err(error) => emit!(STORAGE_FAILED, "{error}"),
+    }
+}
+
+/// Tells everyone who asks that this voter does not lead, for a while.
+async fn refuse_for(pause: Duration, queue: &mut mpsc::Receiver<Input>) {
+    let until = Instant::now() + pause;
+    while let Ok(input) = timeout_at(until, queue.recv()).await {
+        // A responder that is dropped tells its opener to ask elsewhere.
+        if input.is_none() {
+            std::future::pending().await
+        }
+    }
 }
 
 enum Never {}
 
 async fn run(
-    config: Config,
-    lock: File,
-    identity: Identity,
-    pool: Pool,
-    list: watch::Receiver<List>,
-    mut queue: mpsc::Receiver<Input>,
+    config: &Config,
+    pool: &Pool,
+    list: &watch::Receiver<List>,
+    queue: &mut mpsc::Receiver<Input>,
+    board: &Board,
 ) -> Result<Never, Error> {
+    let seed = config.seed;
+    let mint = || {
+        if config.reopen {
+            rand::random::<u64>() | 1
+        } else {
+            seed.max(1)
+        }
+    };
+    let (lock, identity) = Disk::identify(&config.data, mint)?;
     let identity = if identity.group == 0 {
-        wait_for_group(&config, identity, &mut queue).await?
+        board.publish(Standing {
+            member: identity.member,
+            ..Standing::default()
+        });
+        wait_for_group(config, identity, queue).await?
     } else {
         identity
     };
-    let mut voter = Voter::open(config, lock, identity, pool, list)?;
+    let mut voter = Voter::open(
+        config.clone(),
+        lock,
+        identity,
+        pool.clone(),
+        list.clone(),
+        board.clone(),
+    )?;
     loop {
-        voter.turn(&mut queue).await?;
+        voter.turn(queue).await?;
     }
 }
 
@@ -224,11 +299,13 @@
         identity: Identity,
         pool: Pool,
         list: watch::Receiver<List>,
+        board: Board,
     ) -> Result<Self, Error> {
         let (disk, recovered) = Disk::open(&config.data, lock)?;
         let snapshot = recovered.log.snapshot();
         let state = State::decode(snapshot.data.clone())?;
         let applied = snapshot.index;
+        let announced = Arc::new(state.announced().clone());
         let node = Node::new(
             identity.member,
             identity.group,
@@ -236,7 +313,7 @@
             recovered.ballot,
             recovered.log,
             config.seed,
-            Instant::now(),
+            clock::now(),
         );
         Ok(Self {
             node,
@@ -251,6 +328,9 @@
             leading: None,
             snapshotted: applied,
             log_limit: LOG_GROWTH,
+            board,
+            announced,
+            reading: Vec::new(),
             config,
         })
     }
@@ -271,12 +351,53 @@
                 }
                 None => std::future::pending().await,
             },
-            () = sleep_until(wake) => {}
+            () = clock::wait_until(wake) => {}
         }
-        let now = Instant::now();
+        let now = clock::now();
         self.node.tick(now);
         self.lead(now);
-        self.settle()
+        self.settle()?;
+        self.answer_readers();
+        self.publish_standing();
+        Ok(())
+    }
+
+    /// Answers readers whose round a majority has answered.
+    fn answer_readers(&mut self) {
+        if self.reading.is_empty() {
+            return;
+        }
+        if !self.node.leads() {
+            // A responder that is dropped tells its opener to ask elsewhere.
+            self.reading.clear();
+            return;
+        }
+        let node = &self.node;
+        let confirmed = self.reading.extract_if(.., |(round, _)| node.is_confirmed(*round));
+        let document = self.state.document();
+        let text = document.map_or(Bytes::new(), |document| document.text.clone());
+        for (_, responder) in confirmed {
+            responder.finish_now(Body::Report(text.clone()));
+        }
+    }
+
+    fn publish_standing(&mut self) {
+        let lease = self.node.lease();
+        self.board.set_times(lease, self.node.heard());
+        if *self.announced != *self.state.announced() {
+            self.announced = Arc::new(self.state.announced().clone());
+        }
+        let ready = self.leading.is_some() && lease.is_some();
+        let leader = self.node.leader();
+        self.board.publish(Standing {
+            group: self.node.group(),
+            member: self.node.id(),
+            leads: ready.then(|| self.node.term()),
+            members: self.node.members().members.clone(),
+            leader: leader.map_or(String::new(), |leader| leader.address.clone()),
+            document: self.state.document().cloned(),
+            announced: self.announced.clone(),
+        });
     }
 
     fn next_wake(&self) -> Instant {
@@ -289,7 +410,7 @@
     }
 
     fn take(&mut self, input: Input) {
-        let now = Instant::now();
+        let now = clock::now();
         match input {
             Input::Frame(body, responder) => match *body {
                 Body::Quorum(envelope) => {
@@ -353,6 +474,13 @@
                     leading.permits.release(number);
                 }
             }
+            Body::Query(query) if query.kind == DOCUMENT => {
+                match self.node.begin_confirmation(now) {
+                    Ok(round) => self.reading.push((round, responder)),
+                    Err(refusal) => responder.finish_now(failure(describe(&refusal))),
+                }
+            }
+            Body::Join(member) => self.admit(member, responder),
             Body::Query(query) => {
                 let Some(leading) = &self.leading else {
                     return;
@@ -374,6 +502,13 @@
     }
 
     fn propose(&mut self, mut command: Command, responder: Responder) {
+        if self.node.members().members.iter().filter(|member| member.voter).count()
+            < self.config.times.keep_voters
+        {
+            // The promise to survive losses needs more voters than there are yet.
+            responder.finish_now(Body::Redirect(Redirect::default()));
+            return;
+        }
         command.at = wall_clock_millis().max(self.state.at());
         if let Some(outcome) = self.state.peek(&command) {
             responder.finish_now(Body::Outcome(outcome));
@@ -394,6 +529,20 @@
         }
     }
 
+    /// Adds a member that asks for it; it votes once it has caught up.
+    fn admit(&mut self, member: Member, responder: Responder) {
+        let members = &self.node.members().members;
+        let known = members.iter().any(|known| known.id == member.id);
+        let added = match known {
+            true => Ok(()),
+            false => self.node.add_member(member).map(|_| ()),
+        };
+        responder.finish_now(match added {
+            Ok(()) => Body::Report(Bytes::new()),
+            Err(refusal) => failure(describe(&refusal)),
+        });
+    }
+
     fn change_member(&mut self, change: &MemberChange) -> Result<(), Refusal> {
         if change.remove {
             self.node.remove_member(change.id)?;
--- a/crates/tanagershift/src/voter/mod.rs
+++ b/crates/tanagershift/src/voter/mod.rs
@@ -7,8 +7,11 @@
 //! * `report`: answers to the operators' tool.
 //! * `join`: how a data folder comes to belong to a group.
 //! * `feed`: what hosts that follow are sent.
+//! * `standing`: what the rest of the process is told.
+//! * `admission`: how a voter joins its group without an operator.
 //! * `driver`: input and output.
 
+pub mod admission;
 pub mod command;
 pub mod driver;
 pub mod feed;
@@ -16,6 +19,7 @@
 pub mod lease;
 pub mod permit;
 pub mod report;
+pub mod standing;
 pub mod state;
 #[cfg(test)]
 mod tests;
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -6,8 +6,8 @@
 use prost::{Message, encoding::message};
 
 use super::command::{
-    Answer, Assignment, Audit, Claim, Claimed, Command, Drain, Effect, MemberChange, Move, Order,
-    Outcome, Published, Settle, Standing,
+    Announcement, Answer, Assignment, Audit, Claim, Claimed, Command, Document, Drain, Effect,
+    MemberChange, Move, Order, Outcome, Published, Settle, Standing,
 };
 use crate::{
     catalog::{Catalog, ChangeSet, Item},
@@ -78,6 +78,10 @@
     audit: Vec<Audit>,
     #[prost(uint64, tag = "9")]
     at: u64,
+    #[prost(message, optional, tag = "10")]
+    document: Option<Document>,
+    #[prost(message, repeated, tag = "11")]
+    announced: Vec<Announcement>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -102,6 +106,8 @@
     audit: VecDeque<Audit>,
     recent: VecDeque<(id::Revision, Vec<Item>)>,
     at: u64,
+    document: Option<Document>,
+    announced: BTreeMap<String, u64>,
 }
 
 impl State {
@@ -125,6 +131,16 @@
         self.audit.iter()
     }
 
+    /// The accepted routing configuration.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Announced versions by adapter.
+    pub fn announced(&self) -> &BTreeMap<String, u64> {
+        &self.announced
+    }
+
     /// Claims that are kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -160,6 +176,12 @@
                 let claimed = claiming.standing(claim, self.at.max(command.at));
                 Some(Outcome::of(Effect::Claimed(claimed)))
             }
+            Order::Configure(document) if !self.replaces(document) => {
+                Some(Outcome::of(Effect::Done(String::new())))
+            }
+            Order::Announce(announcement) if !self.raises(announcement) => {
+                Some(Outcome::of(Effect::Done(String::new())))
+            }
             _ => None,
         }
     }
@@ -179,6 +201,8 @@
             Some(Order::Settle(settle)) => Effect::Done(self.settle(settle).to_owned()),
             Some(Order::Drain(drain)) => Effect::Done(self.drain(drain)),
             Some(Order::Member(change)) => Effect::Done(self.note_member(change)),
+            Some(Order::Configure(document)) => Effect::Done(self.configure(document)),
+            Some(Order::Announce(announcement)) => Effect::Done(self.announce(announcement)),
             None => Effect::Done(String::new()),
         };
         Outcome::of(effect)
@@ -362,6 +386,43 @@
         String::new()
     }
 
+    /// Whether a configuration is newer than the accepted one.
+    fn replaces(&self, document: &Document) -> bool {
+        let known = self.document.as_ref();
+        known.is_none_or(|known| document.version > known.version)
+    }
+
+    /// Whether an announcement names a higher version than the one known.
+    fn raises(&self, announcement: &Announcement) -> bool {
+        let known = self.announced.get(&announcement.adapter);
+        known.is_none_or(|known| announcement.version > *known)
+    }
+
+    fn configure(&mut self, document: &Document) -> String {
+        if self.replaces(document) {
+            self.document = Some(document.clone());
+            self.record(Audit {
+                what: format!("routing configuration {}", document.version),
+                outcome: "accepted".to_owned(),
+                ..Audit::default()
+            });
+        }
+        String::new()
+    }
+
+    fn announce(&mut self, announcement: &Announcement) -> String {
+        if self.raises(announcement) {
+            let Announcement { adapter, version } = announcement.clone();
+            self.record(Audit {
+                what: format!("adapter {adapter} version {version}"),
+                outcome: "announced".to_owned(),
+                ..Audit::default()
+            });
+            self.announced.insert(adapter, version);
+        }
+        String::new()
+    }
+
     /// Writes the whole state into bytes.
     pub fn encode(&self) -> Bytes {
         let image = Image {
@@ -374,6 +435,8 @@
             drained: self.drained.iter().cloned().collect(),
             audit: self.audit.iter().cloned().collect(),
             at: self.at,
+            document: self.document.clone(),
+            announced: self.announcements().collect(),
         };
         let mut bytes = image.encode_to_vec();
         // One item at a time: all at once would need several times the catalog's memory.
@@ -384,6 +447,14 @@
         bytes.into()
     }
 
+    /// Every announced version.
+    pub fn announcements(&self) -> impl Iterator<Item = Announcement> {
+        self.announced.iter().map(|(adapter, version)| Announcement {
+            adapter: adapter.clone(),
+            version: *version,
+        })
+    }
+
     fn ordered_claims(&self) -> Vec<Claiming> {
         let find = |(_, key): &(u64, String)| self.claims.get(key).cloned();
         self.claim_order.iter().filter_map(find).collect()
@@ -402,6 +473,12 @@
             drained: image.drained.into_iter().collect(),
             audit: image.audit.into(),
             at: image.at,
+            document: image.document,
+            announced: image
+                .announced
+                .into_iter()
+                .map(|one| (one.adapter, one.version))
+                .collect(),
             ..Self::default()
         };
         for dated in image.items {
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::{catalog, quorum::message as quorum, voter::command};
+use crate::{catalog, gateway::feed, quorum::message as quorum, voter::command};
 
 /// Version of the protocol; a peer with another one is refused.
 pub const VERSION: u32 = 1;
@@ -43,7 +43,8 @@
     /// What is said.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, \
+                26, 27, 28"
     )]
     pub body: Option<Body>,
 }
@@ -118,6 +119,18 @@
     /// The permit with the number of this message is no longer used.
     #[prost(uint64, tag = "24")]
     Release(u64),
+    /// A data folder asks the leader to be made a member of the group.
+    #[prost(message, tag = "25")]
+    Join(quorum::Member),
+    /// Asks the leader for everything that a gateway must know, as it changes.
+    #[prost(message, tag = "26")]
+    Watch(feed::Watch),
+    /// What changed.
+    #[prost(message, tag = "27")]
+    Notice(feed::Notice),
+    /// What a gateway has seen: demand, open requests, adapters that it lacks.
+    #[prost(message, tag = "28")]
+    Tally(feed::Tally),
 }
 
 /// Asks the leader for configuration from a revision on, and for the routes.
--- a/crates/tanagershiftd/src/main.rs
+++ b/crates/tanagershiftd/src/main.rs
@@ -1,19 +1,32 @@
 //! The daemon: one host of the system.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{io, path::PathBuf, process::ExitCode, sync::Arc};
 
 use argh::FromArgs;
-use env_logger::Env;
+use env_logger::{Env, Target};
 use tanagershift::{
     daemon::{Daemon, Error},
+    gateway,
     settings::Settings,
 };
-use tokio::signal::unix::{SignalKind, signal};
+use tanagershift_platform::Platform;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
 /// Exit code for a host that could not start or go on.
 const EXIT_FAILED: u8 = 1;
+/// Log lines that wait for a slow output; more are dropped and counted.
+const LOG_LINES: usize = 4096;
+/// Threads that run tasks; a host has less than one core, and waiting for the disk gets a thread of
+/// its own.
+const WORKERS: usize = 1;
+/// Stack of each thread in bytes.
+const STACK: usize = 512 << 10;
 
 /// One host of tanagershift, a serving layer for very many LoRA adapters.
 #[derive(FromArgs)]
@@ -26,12 +39,8 @@
     check: bool,
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    env_logger::Builder::from_env(Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
     let settings = match Settings::read(&arguments.config) {
         Ok(settings) => settings,
         Err(error) => {
@@ -43,25 +52,62 @@
         println!("{}: ok", arguments.config.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
+    let _flushed_at_exit = start_log();
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .thread_stack_size(STACK)
+        .enable_all()
+        .build();
+    let outcome = runtime.map(|runtime| runtime.block_on(run(settings)));
+    match outcome {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) => {
             eprintln!("tanagershiftd: {error}");
             ExitCode::from(EXIT_FAILED)
         }
+        Err(error) => {
+            eprintln!("tanagershiftd: cannot start the runtime: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
     }
 }
 
+/// Sends log lines to standard output without ever waiting for it.
+fn start_log() -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(io::BufWriter::new(io::stdout()));
+    env_logger::Builder::from_env(Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .target(Target::Pipe(Box::new(writer)))
+        .init();
+    guard
+}
+
 /// Runs until the first signal, then shuts down; a second signal exits at once.
-async fn run(settings: Settings) -> Result<(), Error> {
-    let mut daemon = Daemon::start(settings).await?;
-    tokio::select! {
-        () = signalled() => {}
-        error = daemon.failed() => return Err(error),
-    }
-    tokio::select! {
-        () = daemon.shutdown() => Ok(()),
-        () = signalled() => Ok(()),
+async fn run(mut settings: Settings) -> Result<(), Error> {
+    match settings.gateway.take() {
+        Some(config) => {
+            let platform = Arc::new(Platform);
+            let daemon = gateway::daemon::Daemon::start(settings, config, platform).await?;
+            signalled().await;
+            tokio::select! {
+                () = daemon.shutdown() => Ok(()),
+                () = signalled() => Ok(()),
+            }
+        }
+        None => {
+            let mut daemon = Daemon::start(settings).await?;
+            tokio::select! {
+                () = signalled() => {}
+                error = daemon.failed() => return Err(error),
+            }
+            tokio::select! {
+                () = daemon.shutdown() => Ok(()),
+                () = signalled() => Ok(()),
+            }
+        }
     }
 }
 
