placement: load an adapter once for its first request, and count unloads that end at once

Cause: an unload of an idle adapter is answered 200 and still counts as an accepted order, so every next order conflicted; a wanted adapter was planned twice in one pass; an adapter that was being retired was planned again at once on another replica.

--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -36,7 +36,7 @@
     };
     let operation = name(order.operation);
     gateway.metrics.order(operation, word(outcome));
-    log::debug!(
+    log::info!(
         "event=order operation={operation} address={address} adapter={} version={} expect={} \
          epoch={} outcome={}",
         order.adapter,
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -30,7 +30,8 @@
 pub struct Config {
     /// Adapters on their way to one replica at once; the engines' published limit.
     pub replica_transit: usize,
-    /// Adapters on their way from the store to all replicas at once, at the start.
+    /// Adapters on their way from the store to all replicas at once. Where the store is full speed
+    /// with fewer, each load takes longer and as many end in a second.
     pub store_transit: usize,
     /// Places of each replica that are kept free.
     pub spare: usize,
@@ -52,8 +53,8 @@
     fn default() -> Self {
         Self {
             replica_transit: 4,
-            store_transit: 8,
-            spare: 1,
+            store_transit: 16,
+            spare: 2,
             home_share: 0.1,
             retire_delay: Duration::from_millis(250),
             load_time: Duration::from_millis(250),
@@ -77,9 +78,7 @@
 /// Time between two decisions on loads when no request waits.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Weight of the newest load time in the mean.
-const MEAN_WEIGHT: u32 = 8;
-/// Load time against the shortest seen at which the store counts as crowded.
-const CROWDED: f64 = 1.6;
+const MEAN_WEIGHT: u32 = 32;
 /// Time that a request is taken to run before any was seen.
 const FIRST_RUN_TIME: f64 = 2.0;
 
@@ -129,9 +128,8 @@
     total: Heat<()>,
     changes: Vec<Place>,
     next_order: u64,
+    /// Shortest time of a load from the store that was seen lately.
     load_time: Duration,
-    best_load_time: Duration,
-    transit_limit: f64,
     /// When loads are decided next.
     plan_at: Option<Instant>,
 }
@@ -141,8 +139,6 @@
     pub fn new(config: Config) -> Self {
         Self {
             load_time: config.load_time,
-            best_load_time: config.load_time,
-            transit_limit: config.store_transit as f64,
             config,
             replicas: BTreeMap::new(),
             capacities: BTreeMap::new(),
@@ -209,13 +205,16 @@
                 self.total.add(&(), one.came, now);
             }
             if one.waiting > 0 {
-                let want = self.wants.entry(one.adapter.clone()).or_insert(Want {
-                    since: now,
-                    heard: now,
-                    waiting: 0,
+                let plan_at = &mut self.plan_at;
+                let want = self.wants.entry(one.adapter.clone()).or_insert_with(|| {
+                    *plan_at = None;
+                    Want {
+                        since: now,
+                        heard: now,
+                        waiting: 0,
+                    }
                 });
                 want.heard = now;
-                self.plan_at = None;
                 want.waiting = want.waiting.max(one.waiting);
             }
         }
@@ -297,8 +296,8 @@
         if self.plan_at.is_none_or(|at| now >= at) {
             self.plan_at = Some(now + PLAN_INTERVAL);
             self.wants.retain(|_, want| now < want.heard + WANT_LIFE);
-            let homes = self.homes();
-            self.plan_wanted(&homes, now);
+            let mut homes = self.homes();
+            self.plan_wanted(&mut homes, now);
             self.plan_hot(&homes, now);
             self.retire_stale(now);
             self.retire_cold(now);
@@ -342,7 +341,7 @@
     }
 
     /// Decides loads of adapters that requests wait for, longest wait first.
-    fn plan_wanted(&mut self, homes: &BTreeMap<Adapter, usize>, now: Instant) {
+    fn plan_wanted(&mut self, homes: &mut BTreeMap<Adapter, usize>, now: Instant) {
         let mut wanted: Vec<(Instant, Adapter)> = self
             .wants
             .iter()
@@ -350,11 +349,13 @@
             .map(|(adapter, want)| (want.since, adapter.clone()))
             .collect();
         wanted.sort();
+        let mut expected = self.expected_work(now);
         for (_, adapter) in wanted {
-            self.plan(&adapter, now);
+            if self.plan(&adapter, &mut expected, now) {
+                *homes.entry(adapter).or_default() += 1;
+            }
         }
-        let served = |adapter: &Adapter| homes.contains_key(adapter);
-        self.wants.retain(|adapter, _| !served(adapter));
+        self.wants.retain(|adapter, _| !homes.contains_key(adapter));
     }
 
     /// Gives adapters with many requests more replicas.
@@ -366,21 +367,28 @@
         for (adapter, rate) in self.hot.rates(now) {
             let wanted = (rate * run_time / share).ceil() as usize;
             let have = homes.get(adapter).copied().unwrap_or(0);
-            if wanted > have && (have > 0 || self.has_any_version(adapter)) {
+            if wanted > have && (have > 0 || self.is_outdated(adapter)) {
                 growing.push((adapter.clone(), wanted - have, rate));
             }
         }
+        if growing.is_empty() {
+            return;
+        }
         growing.sort_by(|left, right| right.2.total_cmp(&left.2));
+        let mut expected = self.expected_work(now);
         for (adapter, count, _) in growing {
             for _ in 0..count {
-                self.plan(&adapter, now);
+                self.plan(&adapter, &mut expected, now);
             }
         }
     }
 
-    fn has_any_version(&self, adapter: &str) -> bool {
-        let mut replicas = self.replicas.values();
-        replicas.any(|one| one.slots.contains_key(adapter))
+    /// Whether requests use an older version of an adapter than the announced one.
+    fn is_outdated(&self, adapter: &str) -> bool {
+        let newest = self.newest(adapter);
+        let old = |slot: &Slot| slot.state == State::Ready && slot.version < newest;
+        let mut slots = self.replicas.values().filter_map(|one| one.slots.get(adapter));
+        slots.any(old)
     }
 
     /// Mean time that a request stays at a replica, in seconds (Little's law).
@@ -393,12 +401,16 @@
         (f64::from(open) / rate).clamp(0.5, 10.0)
     }
 
-    /// Decides a load on the replica that expects least work.
-    fn plan(&mut self, adapter: &str, now: Instant) {
+    /// Decides a load on the replica that expects least work, if any has room.
+    fn plan(
+        &mut self,
+        adapter: &str,
+        expected: &mut BTreeMap<id::Upstream, f64>,
+        now: Instant,
+    ) -> bool {
         let model = adapter.split('/').next().unwrap_or(adapter);
-        let expected = self.expected_work(now);
         let rank = |replica: &Replica| {
-            let load = expected.get(replica.upstream.name.as_str()).copied();
+            let load = expected.get(&replica.upstream.name).copied();
             let slots = f64::from(replica.upstream.slots.max(1));
             let open = f64::from(replica.open) / slots;
             let transit = replica.in_transit() as f64 * 0.05;
@@ -406,10 +418,10 @@
             load.unwrap_or(0.0) / slots + open + transit - recent
         };
         let fits = |replica: &&Replica| {
-            replica.is_usable()
+            replica.free() > 0
+                && replica.is_usable()
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
-                && replica.free() > 0
         };
         let best = self
             .replicas
@@ -418,14 +430,16 @@
             .min_by(|left, right| rank(left).total_cmp(&rank(right)))
             .map(|replica| replica.upstream.name.clone());
         let Some(name) = best else {
-            return;
+            return false;
         };
+        *expected.entry(name.clone()).or_default() += 1.0;
         let version = self.newest(adapter);
         if let Some(replica) = self.replicas.get_mut(&name) {
             let mut slot = Slot::new(version, State::Planned, now);
             slot.recent = replica.held_recently(adapter);
             replica.slots.insert(adapter.to_owned(), slot);
         }
+        true
     }
 
     /// Requests that the demand should keep open at each replica.
@@ -517,8 +531,7 @@
 
     /// The next step at one replica.
     fn act(&mut self, name: &str, transit: &mut usize, now: Instant) -> Option<Action> {
-        let limit = self.transit_limit as usize;
-        let config = self.config.clone();
+        let config = &self.config;
         let replica = self.replicas.get_mut(name)?;
         if replica.upstream.draining || replica.pending.is_some() || replica.reporting {
             return None;
@@ -532,7 +545,7 @@
                 replica: name.to_owned(),
             });
         };
-        let (operation, adapter) = next_order(replica, &config, limit, *transit, now)?;
+        let (operation, adapter) = next_order(replica, config, *transit, now)?;
         let slot = replica.slots.get(&adapter)?;
         let planned = slot.state == State::Planned;
         if planned && !slot.recent {
@@ -590,7 +603,9 @@
             return;
         };
         let first = matches!(slot.state, State::Planned | State::Retiring { .. });
-        if outcome == Ordered::Accepted && first {
+        // An idle adapter is unloaded before the answer, which says that it holds and counts.
+        let unloaded = pending.operation == Operation::Unload && outcome == Ordered::Holds;
+        if first && (outcome == Ordered::Accepted || unloaded) {
             replica.accepted = replica.accepted.map(|accepted| accepted + 1);
         }
         match (pending.operation, outcome) {
@@ -619,6 +634,9 @@
             }
             (Operation::Unload, Ordered::Holds) => {
                 replica.remove(&pending.adapter);
+                if !self.wants.is_empty() {
+                    self.plan_at = None;
+                }
             }
             (Operation::Unload, _) => {
                 replica.set(&pending.adapter, State::Unloading { check }, now);
@@ -626,16 +644,10 @@
         }
     }
 
-    /// Learns the store's speed, and how many loads at once keep it.
+    /// Learns when a load can be asked for at the earliest: a mean that falls fast and rises slowly.
     fn note_load_time(&mut self, time: Duration) {
-        self.load_time = (self.load_time * (MEAN_WEIGHT - 1) + time) / MEAN_WEIGHT;
-        self.best_load_time = self.best_load_time.min(time);
-        let most = self.config.store_transit as f64 * 8.0;
-        if time.as_secs_f64() > self.best_load_time.as_secs_f64() * CROWDED {
-            self.transit_limit = (self.transit_limit * 0.9).max(2.0);
-        } else {
-            self.transit_limit = (self.transit_limit + 0.1).min(most);
-        }
+        let weight = if time < self.load_time { 2 } else { MEAN_WEIGHT };
+        self.load_time = (self.load_time * (weight - 1) + time) / weight;
     }
 
     /// Takes a report, or that there was none.
@@ -685,7 +697,6 @@
 fn next_order(
     replica: &Replica,
     config: &Config,
-    limit: usize,
     transit: usize,
     now: Instant,
 ) -> Option<(Operation, Adapter)> {
@@ -701,7 +712,7 @@
     let planned = |slot: &Slot| slot.state == State::Planned;
     let present = replica.slots.values().filter(|slot| !planned(slot)).count();
     if present < replica.capacity && replica.in_transit() < config.replica_transit {
-        let may_load = |slot: &Slot| planned(slot) && (slot.recent || transit < limit);
+        let may_load = |slot: &Slot| planned(slot) && (slot.recent || transit < config.store_transit);
         let loads = replica.slots.iter().filter(|(_, slot)| may_load(slot));
         if let Some((adapter, _)) = loads.min_by_key(|(_, slot)| slot.since) {
             return Some((Operation::Load, adapter.clone()));
