--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -45,7 +45,7 @@
 pub struct Leader {
     pool: Pool,
     /// Where the search starts.
-    seeds: Arc<Vec<String>>,
+    seeds: Arc<Mutex<Vec<String>>>,
     /// Voters as last told.
     voters: Arc<Mutex<Vec<String>>>,
     current: watch::Sender<Option<String>>,
@@ -56,7 +56,7 @@
     pub fn new(pool: Pool, seeds: Vec<String>) -> Self {
         Self {
             pool,
-            seeds: Arc::new(seeds),
+            seeds: Arc::new(Mutex::new(seeds)),
             voters: Arc::default(),
             current: watch::Sender::new(None),
         }
@@ -116,7 +116,8 @@
     fn candidates(&self) -> Vec<String> {
         let mut candidates: Vec<String> = self.current.borrow().iter().cloned().collect();
         let voters = self.voters.lock().unwrap_or_else(PoisonError::into_inner);
-        for voter in voters.iter().chain(self.seeds.iter()) {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        for voter in voters.iter().chain(seeds.iter()) {
             if !candidates.contains(voter) {
                 candidates.push(voter.clone());
             }
@@ -124,6 +125,14 @@
         candidates
     }
 
+    /// Replaces the hosts where the search starts; says whether they changed.
+    pub fn reseed(&self, seeds: Vec<String>) -> bool {
+        let mut known = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        let changed = *known != seeds;
+        *known = seeds;
+        changed
+    }
+
     /// Takes note of who votes now.
     pub fn learn(&self, voters: Vec<String>) {
         *self.voters.lock().unwrap_or_else(PoisonError::into_inner) = voters;
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -39,6 +39,7 @@
 #[derive(Debug)]
 pub struct Daemon {
     gateway: Arc<Gateway>,
+    leader: Leader,
     voter: Option<driver::Handle>,
     stop: watch::Sender<bool>,
     /// Time for the balancer to see that the host is not ready.
@@ -99,7 +100,7 @@
         follow(&gateway, &leader, &config, address);
         let operators = Control {
             gateway: gateway.clone(),
-            leader,
+            leader: leader.clone(),
         };
         tokio::spawn(operators.serve(control));
         tokio::spawn(server::serve_probe(gateway.clone(), ready));
@@ -113,6 +114,7 @@
         );
         Ok(Self {
             gateway,
+            leader,
             voter,
             stop,
             balancer: settings.host.balancer,
@@ -120,6 +122,14 @@
         })
     }
 
+    /// Takes changed settings; only the seeds may change while the host runs.
+    pub fn reload(&self, settings: &Settings) {
+        let seeds: Vec<String> = seeds(settings).iter().map(SocketAddr::to_string).collect();
+        if self.leader.reseed(seeds.clone()) {
+            log::info!("event=reload seeds={}", seeds.join(","));
+        }
+    }
+
     /// Shuts down: no request is cut off unless the grace period passes.
     pub async fn shutdown(&self) {
         let began = Instant::now();
--- a/crates/tanagershiftd/src/main.rs
+++ b/crates/tanagershiftd/src/main.rs
@@ -1,6 +1,12 @@
 //! The daemon: one host of the system.
 
-use std::{io, path::PathBuf, process::ExitCode, sync::Arc};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
 
 use argh::FromArgs;
 use env_logger::{Env, Target};
@@ -13,6 +19,7 @@
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
+    time::timeout,
 };
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
@@ -22,6 +29,8 @@
 const EXIT_FAILED: u8 = 1;
 /// Log lines that wait for a slow output; more are dropped and counted.
 const LOG_LINES: usize = 4096;
+/// Time between two readings of the settings file when no signal asks for one.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
 /// Threads that run tasks; a host has less than one core, and waiting for the disk gets a thread of
 /// its own.
 const WORKERS: usize = 1;
@@ -58,7 +67,7 @@
         .thread_stack_size(STACK)
         .enable_all()
         .build();
-    let outcome = runtime.map(|runtime| runtime.block_on(run(settings)));
+    let outcome = runtime.map(|runtime| runtime.block_on(run(settings, &arguments.config)));
     match outcome {
         Ok(Ok(())) => ExitCode::SUCCESS,
         Ok(Err(error)) => {
@@ -86,12 +95,15 @@
 }
 
 /// Runs until the first signal, then shuts down; a second signal exits at once.
-async fn run(mut settings: Settings) -> Result<(), Error> {
+async fn run(mut settings: Settings, file: &Path) -> Result<(), Error> {
     match settings.gateway.take() {
         Some(config) => {
             let platform = Arc::new(Platform);
             let daemon = gateway::daemon::Daemon::start(settings, config, platform).await?;
-            signalled().await;
+            tokio::select! {
+                () = signalled() => {}
+                () = keep_reading(&daemon, file) => {}
+            }
             tokio::select! {
                 () = daemon.shutdown() => Ok(()),
                 () = signalled() => Ok(()),
@@ -111,6 +123,22 @@
     }
 }
 
+/// Reads the settings again at each hangup signal and now and then, since they may change without
+/// one.
+async fn keep_reading(daemon: &gateway::daemon::Daemon, file: &Path) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    loop {
+        // Either way the settings are read.
+        let _ = timeout(RELOAD_INTERVAL, hangup.recv()).await;
+        match Settings::read(file) {
+            Ok(settings) => daemon.reload(&settings),
+            Err(error) => log::error!("event=reload.failed reason={:?}", error.to_string()),
+        }
+    }
+}
+
 /// Waits for the signal to terminate, or to interrupt.
 async fn signalled() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
