admission: voters tell the seeds who leads

Cause: after all processes were killed, a host without a disk knows only its seeds. Also: a member that was just added counted as silent and was dropped at once, since its silence was counted from the leader's start.

--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -19,7 +19,7 @@
     host::Host,
     id,
     link::{self, Call, Pool},
-    wire::{Body, Follow, Heartbeat, Lease, Update},
+    wire::{Body, Follow, Heartbeat, Lease, Redirect, Update},
 };
 
 /// Pause after every known voter was asked in vain.
@@ -48,6 +48,8 @@
     seeds: Arc<Mutex<Vec<String>>>,
     /// Voters as last told.
     voters: Arc<Mutex<Vec<String>>>,
+    /// Leader as another host last named it.
+    hint: Arc<Mutex<Option<String>>>,
     current: watch::Sender<Option<String>>,
 }
 
@@ -58,6 +60,7 @@
             pool,
             seeds: Arc::new(Mutex::new(seeds)),
             voters: Arc::default(),
+            hint: Arc::default(),
             current: watch::Sender::new(None),
         }
     }
@@ -115,6 +118,13 @@
     /// The leader as last known, then every voter, then the seeds.
     fn candidates(&self) -> Vec<String> {
         let mut candidates: Vec<String> = self.current.borrow().iter().cloned().collect();
+        let hint = self.hint.lock().unwrap_or_else(PoisonError::into_inner);
+        candidates.extend(
+            hint.iter()
+                .filter(|hint| !candidates.contains(hint))
+                .cloned()
+                .collect::<Vec<_>>(),
+        );
         let voters = self.voters.lock().unwrap_or_else(PoisonError::into_inner);
         let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
         for voter in voters.iter().chain(seeds.iter()) {
@@ -133,6 +143,41 @@
         changed
     }
 
+    /// Takes note of the leader that another host names.
+    pub fn hint(&self, address: String) {
+        *self.hint.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
+    }
+
+    /// Who leads, as far as this host knows; empty when it does not.
+    pub fn known(&self) -> String {
+        let hint = || {
+            let hint = self.hint.lock().unwrap_or_else(PoisonError::into_inner);
+            hint.clone()
+        };
+        let current = self.current.borrow().clone();
+        current.or_else(hint).unwrap_or_default()
+    }
+
+    /// Names a leader to every seed, so that hosts that know nobody find it there.
+    pub async fn tell_seeds(&self, address: &str) {
+        let seeds = self
+            .seeds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let tell = |seed: String| async move {
+            let redirect = Body::Redirect(Redirect {
+                address: address.to_owned(),
+            });
+            // A seed that cannot be reached is told the next time.
+            if let Ok(Ok(link)) = timeout(ATTEMPT, self.pool.link(&seed)).await {
+                let _ = link.tell(redirect);
+            }
+        };
+        let told: FuturesUnordered<_> = seeds.into_iter().map(tell).collect();
+        told.collect::<()>().await;
+    }
+
     /// Takes note of who votes now.
     pub fn learn(&self, voters: Vec<String>) {
         *self.voters.lock().unwrap_or_else(PoisonError::into_inner) = voters;
--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -93,7 +93,11 @@
     let rank = |known: &Known| {
         let slots = f64::from(known.upstream.slots.max(1));
         let busy = f64::from(known.open(now)) / slots;
-        let far = if known.upstream.zone == zone { 0.0 } else { ZONE_SHARE };
+        let far = if known.upstream.zone == zone {
+            0.0
+        } else {
+            ZONE_SHARE
+        };
         busy + far
     };
     candidates.min_by(|(left, _), (right, _)| {
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -200,7 +200,9 @@
         let address = connection.address.clone();
         let until = now + keep;
         let mut all = self.idle();
-        all.entry(address).or_default().push(Idle { connection, until });
+        all.entry(address)
+            .or_default()
+            .push(Idle { connection, until });
     }
 
     /// Closes connections that are idle for too long, or whose peer has closed them.
--- a/crates/tanagershift/src/gateway/control.rs
+++ b/crates/tanagershift/src/gateway/control.rs
@@ -101,7 +101,9 @@
             dialect::Request::Unknown => Answer::new(StatusCode::NOT_FOUND, "no such call"),
             dialect::Request::Read => self.read().await,
             dialect::Request::Configure | dialect::Request::Announce => {
-                let body = Limited::new(request.into_body(), BODY_LIMIT).collect().await;
+                let body = Limited::new(request.into_body(), BODY_LIMIT)
+                    .collect()
+                    .await;
                 match body {
                     Ok(body) => self.change(asked, body.to_bytes()).await,
                     Err(error) => Answer::new(StatusCode::BAD_REQUEST, error.to_string()),
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -9,13 +9,7 @@
 };
 
 use super::{
-    Gateway,
-    control::Control,
-    dialect::Dialect,
-    follow::Follower,
-    hub,
-    server,
-    settings::Config,
+    Gateway, control::Control, dialect::Dialect, follow::Follower, hub, server, settings::Config,
 };
 use crate::{
     daemon::{Error, listen},
@@ -207,6 +201,7 @@
         election: times.election,
     };
     tokio::spawn(admission::keep(candidate, handle.clone(), leader.clone()));
+    tokio::spawn(admission::point_seeds(handle.clone(), leader.clone()));
     Ok(Some(handle))
 }
 
@@ -231,6 +226,10 @@
                     hub.take(hub::Input::Tally(tally));
                 }
             }
+            // Another host names the leader.
+            Body::Redirect(redirect) if !redirect.address.is_empty() => {
+                self.leader.hint(redirect.address);
+            }
             Body::Query(query) if query.kind == "identity" && self.voter.is_none() => {
                 responder.finish_now(Body::Report(admission::no_identity(&self.host)));
             }
@@ -250,7 +249,7 @@
     fn redirect(&self, responder: Responder) {
         let voter = self.voter.as_ref();
         let known = voter.map(|voter| voter.board().standing().leader);
-        let last = || self.leader.current().borrow().clone().unwrap_or_default();
+        let last = || self.leader.known();
         let address = known.filter(|known| !known.is_empty()).unwrap_or_else(last);
         responder.finish_now(Body::Redirect(Redirect { address }));
     }
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -3,11 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode,
-    body::Incoming,
-    http::response,
-};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, http::response};
 use tokio::time::{Instant, timeout_at};
 
 use super::{
--- a/crates/tanagershift/src/gateway/figures.rs
+++ b/crates/tanagershift/src/gateway/figures.rs
@@ -73,7 +73,11 @@
     fn register(&self, registry: &mut Registry) {
         let requests = self.requests.clone();
         registry.register("requests", "Requests by route and outcome", requests);
-        registry.register("orders", "Orders to replicas by outcome", self.orders.clone());
+        registry.register(
+            "orders",
+            "Orders to replicas by outcome",
+            self.orders.clone(),
+        );
         registry.register("repeats", "Attempts after the first", self.repeats.clone());
         let text = "Time that a request waited for its adapter";
         registry.register_with_unit("load_stall", text, Unit::Seconds, self.stalls.clone());
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -106,11 +106,14 @@
     };
     let (head, body) = request.into_parts();
     let route = find_route(&configuration, &head)?;
-    let call = gateway.dialect.call(&head).map_err(|malformed| {
-        Rejection::new(StatusCode::BAD_REQUEST, malformed.0)
-    })?;
+    let call = gateway
+        .dialect
+        .call(&head)
+        .map_err(|malformed| Rejection::new(StatusCode::BAD_REQUEST, malformed.0))?;
     let body = read_body(body, configuration.limits.body).await?;
-    let limit = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let limit = call
+        .patience
+        .map_or(route.timeout, |patience| patience.min(route.timeout));
     let draw = rand::random_range(0..route.weight().max(1));
     let service = route.target(draw).unwrap_or_default().to_owned();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/tanagershift/src/gateway/hub.rs
+++ b/crates/tanagershift/src/gateway/hub.rs
@@ -14,8 +14,7 @@
 };
 
 use super::{
-    Gateway,
-    cloud,
+    Gateway, cloud,
     dialect::{Order, Ordered, Report},
     feed::{Announcement, Counts, Document, List, Notice, Place, Tally, Upstream, Watch},
     orders,
@@ -273,9 +272,7 @@
                 leading.placement.ordered(&replica, number, outcome, now);
             }
             Input::Reported(term, replica, report) if term == leading.term => {
-                leading
-                    .placement
-                    .reported(&replica, report.as_ref(), now);
+                leading.placement.reported(&replica, report.as_ref(), now);
             }
             Input::Ordered(..) | Input::Reported(..) => {}
         }
@@ -381,7 +378,11 @@
             whole: self.list.number > 0,
             interval_ms: self.interval().as_millis() as u32,
         };
-        log::info!("event=hub.watch host={} session={:016x}", watch.host, watch.session);
+        log::info!(
+            "event=hub.watch host={} session={:016x}",
+            watch.host,
+            watch.session
+        );
         self.watchers.retain(|known| known.host != watch.host);
         self.watchers.push(Watcher {
             host: watch.host.clone(),
@@ -446,7 +447,11 @@
             number: self.list.number.max(self.term << 32) + 1,
             upstreams,
         };
-        let places = if first { self.placement.places() } else { Vec::new() };
+        let places = if first {
+            self.placement.places()
+        } else {
+            Vec::new()
+        };
         self.broadcast(&Notice {
             list: Some(self.list.clone()),
             whole: first,
@@ -457,8 +462,7 @@
 
     /// Open requests of all gateways at each replica.
     fn sum_open(&mut self, now: Instant) -> Counts {
-        self.told
-            .retain(|_, told| now < told.at + GATEWAY_LIFE);
+        self.told.retain(|_, told| now < told.at + GATEWAY_LIFE);
         let mut counts = vec![0_u32; self.list.upstreams.len()];
         let current = self.told.values().map(|told| &told.open);
         for open in current.filter(|open| open.list == self.list.number) {
@@ -516,7 +520,9 @@
     fn announce(&mut self, announced: &Arc<BTreeMap<String, u64>>) {
         let now = Instant::now();
         let newer = |(adapter, version): &(&String, &u64)| {
-            self.announced.get(*adapter).is_none_or(|known| known < *version)
+            self.announced
+                .get(*adapter)
+                .is_none_or(|known| known < *version)
         };
         let news: Vec<Announcement> = announced
             .iter()
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -64,7 +64,10 @@
             None
         }
         Err(error) => {
-            log::info!("event=report.failed address={address} reason={:?}", error.to_string());
+            log::info!(
+                "event=report.failed address={address} reason={:?}",
+                error.to_string()
+            );
             None
         }
     }
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -312,8 +312,7 @@
     }
 
     fn store_transit(&self) -> usize {
-        let from_store =
-            |slot: &&Slot| matches!(slot.state, State::Loading { .. }) && !slot.recent;
+        let from_store = |slot: &&Slot| matches!(slot.state, State::Loading { .. }) && !slot.recent;
         let slots = self.replicas.values().flat_map(|one| one.slots.values());
         slots.filter(from_store).count()
     }
@@ -387,7 +386,10 @@
     fn is_outdated(&self, adapter: &str) -> bool {
         let newest = self.newest(adapter);
         let old = |slot: &Slot| slot.state == State::Ready && slot.version < newest;
-        let mut slots = self.replicas.values().filter_map(|one| one.slots.get(adapter));
+        let mut slots = self
+            .replicas
+            .values()
+            .filter_map(|one| one.slots.get(adapter));
         slots.any(old)
     }
 
@@ -414,7 +416,11 @@
             let slots = f64::from(replica.upstream.slots.max(1));
             let open = f64::from(replica.open) / slots;
             let transit = replica.in_transit() as f64 * 0.05;
-            let recent = if replica.held_recently(adapter) { 0.4 } else { 0.0 };
+            let recent = if replica.held_recently(adapter) {
+                0.4
+            } else {
+                0.0
+            };
             load.unwrap_or(0.0) / slots + open + transit - recent
         };
         let fits = |replica: &&Replica| {
@@ -496,10 +502,7 @@
         let mut retired = Vec::new();
         for (name, replica) in self.replicas.iter().filter(|(_, one)| one.is_usable()) {
             let leaving = |slot: &&Slot| {
-                matches!(
-                    slot.state,
-                    State::Retiring { .. } | State::Unloading { .. }
-                )
+                matches!(slot.state, State::Retiring { .. } | State::Unloading { .. })
             };
             let free = replica.free() + replica.slots.values().filter(leaving).count();
             let spare = self.config.spare.min(replica.capacity / 2);
@@ -646,7 +649,11 @@
 
     /// Learns when a load can be asked for at the earliest: a mean that falls fast and rises slowly.
     fn note_load_time(&mut self, time: Duration) {
-        let weight = if time < self.load_time { 2 } else { MEAN_WEIGHT };
+        let weight = if time < self.load_time {
+            2
+        } else {
+            MEAN_WEIGHT
+        };
         self.load_time = (self.load_time * (weight - 1) + time) / weight;
     }
 
@@ -712,7 +719,8 @@
     let planned = |slot: &Slot| slot.state == State::Planned;
     let present = replica.slots.values().filter(|slot| !planned(slot)).count();
     if present < replica.capacity && replica.in_transit() < config.replica_transit {
-        let may_load = |slot: &Slot| planned(slot) && (slot.recent || transit < config.store_transit);
+        let may_load =
+            |slot: &Slot| planned(slot) && (slot.recent || transit < config.store_transit);
         let loads = replica.slots.iter().filter(|(_, slot)| may_load(slot));
         if let Some((adapter, _)) = loads.min_by_key(|(_, slot)| slot.since) {
             return Some((Operation::Load, adapter.clone()));
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -172,8 +172,7 @@
         let mut slots = BTreeMap::new();
         for one in &report.adapters {
             let known = self.slots.get(&one.adapter);
-            let retiring =
-                known.is_some_and(|slot| matches!(slot.state, State::Retiring { .. }));
+            let retiring = known.is_some_and(|slot| matches!(slot.state, State::Retiring { .. }));
             let state = match known {
                 Some(slot) if retiring => slot.state,
                 _ => State::Ready,
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -130,10 +130,7 @@
         self.kept = Some(kept);
     }
 
-    fn poll(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.deadline.as_mut().poll(context).is_ready() {
             return Poll::Ready(Some(Err(self.fail("deadline"))));
         }
@@ -244,4 +241,3 @@
             .log_end(&self.job, self.outcome, verdict, &self.trace, first);
     }
 }
-
--- a/crates/tanagershift/src/heat.rs
+++ b/crates/tanagershift/src/heat.rs
@@ -63,11 +63,17 @@
     pub fn rates(&self, now: Instant) -> impl Iterator<Item = (&K, f64)> {
         let scale = std::f64::consts::LN_2 / self.half_life.as_secs_f64();
         let rate = move |count: &Count| count.value(self.half_life, now) * scale;
-        self.counts.iter().map(move |(key, count)| (key, rate(count)))
+        self.counts
+            .iter()
+            .map(move |(key, count)| (key, rate(count)))
     }
 
     fn forget_coldest_half(&mut self, now: Instant) {
-        let mut values: Vec<f64> = self.counts.values().map(|count| count.value(self.half_life, now)).collect();
+        let mut values: Vec<f64> = self
+            .counts
+            .values()
+            .map(|count| count.value(self.half_life, now))
+            .collect();
         values.sort_by(f64::total_cmp);
         let median = values[values.len() / 2];
         let half_life = self.half_life;
--- a/crates/tanagershift/src/quorum/disk_tests.rs
+++ b/crates/tanagershift/src/quorum/disk_tests.rs
@@ -107,7 +107,10 @@
     lost[seal..two.len()].fill(0);
     // The record says that only the bytes before the seal were synced when it was written, so
     // its own sync cannot have ended.
-    let next_seal = three.windows(4).rposition(|window| window == magic).unwrap();
+    let next_seal = three
+        .windows(4)
+        .rposition(|window| window == magic)
+        .unwrap();
     lost.truncate(next_seal);
     fs::write(&path, &lost).unwrap();
     let (_, recovered) = reopen(folder.path()).unwrap();
--- a/crates/tanagershift/src/quorum/node/membership.rs
+++ b/crates/tanagershift/src/quorum/node/membership.rs
@@ -21,6 +21,8 @@
             return;
         };
         let known = &self.members.members;
+        let newest_round = leadership.rounds.back().map(|(_, began)| *began);
+        let tracked = newest_round.unwrap_or(leadership.began);
         leadership
             .progress
             .retain(|id, _| known.iter().any(|member| member.id == *id));
@@ -28,6 +30,7 @@
             leadership.progress.entry(member.id).or_insert(Progress {
                 matched: 0,
                 next,
+                tracked,
                 acked: None,
                 round: 0,
                 installing: None,
@@ -152,7 +155,7 @@
         };
         let silence = self.config.election * SILENT_ELECTIONS;
         let progress = leadership.progress.get(&member);
-        let heard = progress.map(|progress| progress.acked.unwrap_or(leadership.began));
+        let heard = progress.map(|progress| progress.acked.unwrap_or(progress.tracked));
         heard.is_some_and(|heard| now.saturating_duration_since(heard) > silence)
     }
 }
--- a/crates/tanagershift/src/quorum/node/mod.rs
+++ b/crates/tanagershift/src/quorum/node/mod.rs
@@ -111,6 +111,8 @@
 struct Progress {
     matched: id::Index,
     next: id::Index,
+    /// When this leader began to replicate to it.
+    tracked: Instant,
     /// When the round of the newest answer began.
     acked: Option<Instant>,
     /// Newest round that it answered.
--- a/crates/tanagershift/src/voter/admission.rs
+++ b/crates/tanagershift/src/voter/admission.rs
@@ -18,6 +18,8 @@
 
 /// Pause between two checks of the own membership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two messages that tell the seeds who leads.
+const POINT_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait for one host's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest wait for the leader to admit a member.
@@ -119,6 +121,18 @@
     }
 }
 
+/// Tells the seeds who leads until the process ends. A host without a disk that starts knows only
+/// its seeds, and these may have started at the same moment and know nothing either.
+pub async fn point_seeds(voter: Handle, leader: Leader) {
+    loop {
+        sleep(POINT_INTERVAL).await;
+        let address = voter.board().standing().leader;
+        if !address.is_empty() {
+            leader.tell_seeds(&address).await;
+        }
+    }
+}
+
 /// Whether this host votes in a group whose leader it hears.
 fn is_settled(candidate: &Candidate, voter: &Handle, standing: &Standing) -> bool {
     let heard = voter.board().heard();
@@ -175,7 +189,12 @@
         member,
         members: vec![first],
     };
-    emit!(FOUNDED, "host {}, group {:016x}", candidate.host, format.group);
+    emit!(
+        FOUNDED,
+        "host {}, group {:016x}",
+        candidate.host,
+        format.group
+    );
     let address = candidate.address.to_string();
     let ask = async {
         pool.call(&address, Body::Format(format))
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -185,6 +185,7 @@
     log_limit: u64,
     board: Board,
     announced: Arc<BTreeMap<String, u64>>,
+    logged_members: Members,
     /// Readers of the configuration, each with the round that must be confirmed first.
     reading: Vec<(u64, Responder)>,
 }
@@ -330,6 +331,7 @@
             log_limit: LOG_GROWTH,
             board,
             announced,
+            logged_members: Members::default(),
             reading: Vec::new(),
             config,
         })
@@ -373,7 +375,9 @@
             return;
         }
         let node = &self.node;
-        let confirmed = self.reading.extract_if(.., |(round, _)| node.is_confirmed(*round));
+        let confirmed = self
+            .reading
+            .extract_if(.., |(round, _)| node.is_confirmed(*round));
         let document = self.state.document();
         let text = document.map_or(Bytes::new(), |document| document.text.clone());
         for (_, responder) in confirmed {
@@ -502,7 +506,13 @@
     }
 
     fn propose(&mut self, mut command: Command, responder: Responder) {
-        if self.node.members().members.iter().filter(|member| member.voter).count()
+        if self
+            .node
+            .members()
+            .members
+            .iter()
+            .filter(|member| member.voter)
+            .count()
             < self.config.times.keep_voters
         {
             // The promise to survive losses needs more voters than there are yet.
@@ -681,8 +691,9 @@
         }
         for entry in ready.committed {
             self.applied = entry.index;
-            if entry.members.is_some() {
-                emit!(MEMBERS, "{}", describe_members(self.node.members()));
+            if entry.members.is_some() && *self.node.members() != self.logged_members {
+                self.logged_members = self.node.members().clone();
+                emit!(MEMBERS, "{}", describe_members(&self.logged_members));
             }
             if !entry.data.is_empty() {
                 self.apply(entry.index, entry.term, entry.data);
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -449,10 +449,12 @@
 
     /// Every announced version.
     pub fn announcements(&self) -> impl Iterator<Item = Announcement> {
-        self.announced.iter().map(|(adapter, version)| Announcement {
-            adapter: adapter.clone(),
-            version: *version,
-        })
+        self.announced
+            .iter()
+            .map(|(adapter, version)| Announcement {
+                adapter: adapter.clone(),
+                version: *version,
+            })
     }
 
     fn ordered_claims(&self) -> Vec<Claiming> {
