--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -18,7 +18,7 @@
     configuration::{Configuration, Kind, Route},
     exchange::{Answer, Failed, Job, exchange},
     feed::Upstream,
-    relay::{Body, Stream},
+    relay::{Body, Progress, Stream},
 };
 use crate::{entry::retry::may_repeat, verdict::Verdict};
 
@@ -206,7 +206,8 @@
 ) -> Result<Response<Body>, Rejection> {
     let response = response.map_err(|failed| rejection(&failed))?;
     let outcome = response.status();
-    gateway.log_end(job, outcome.as_str(), Verdict::Ran, trace, None);
+    let progress = Progress::default();
+    gateway.log_end(job, outcome.as_str(), Verdict::Ran, trace, &progress);
     Ok(response)
 }
 
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 use exchange::Job;
 use figures::Figures;
 use forward::{Rejection, Trace};
+use relay::Progress;
 use view::View;
 
 /// One gateway.
@@ -133,20 +134,21 @@
         outcome: &str,
         verdict: Verdict,
         trace: &Trace,
-        first: Option<Duration>,
+        progress: &Progress,
     ) {
         self.metrics.request(&job.route.name, outcome);
         let now = Instant::now();
         log::info!(
             "event=request.end request={} route={} adapter={} outcome={outcome} verdict={verdict} \
-             upstreams={} arrivals={} stalled_ms={} first_ms={} total_ms={} failure={:?}",
+             upstreams={} arrivals={} stalled_ms={} first_ms={} pause_ms={} total_ms={} failure={:?}",
             job.call.id,
             job.route.name,
             job.call.adapter.as_deref().unwrap_or("-"),
             trace.tried.join(","),
             trace.arrivals,
             trace.stalled.as_millis(),
-            first.map_or(-1, |first| first.as_millis() as i64),
+            progress.first.map_or(-1, |first| first.as_millis() as i64),
+            progress.longest_pause.as_millis(),
             now.duration_since(job.came).as_millis(),
             trace.last_failure,
         );
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -7,6 +7,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -76,6 +77,16 @@
     }
 }
 
+/// When events were passed on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Time from the request to the first event.
+    pub first: Option<Duration>,
+    /// Longest pause between two events.
+    pub longest_pause: Duration,
+    last: Option<Instant>,
+}
+
 type Resumed = Pin<Box<dyn Future<Output = (Trace, Option<Answer>)> + Send>>;
 
 /// Where the events come from.
@@ -94,7 +105,7 @@
     splitter: Splitter,
     trace: Trace,
     deadline: Pin<Box<Sleep>>,
-    first: Option<Instant>,
+    progress: Progress,
     outcome: &'static str,
     /// What must be dropped with the stream.
     kept: Option<Box<dyn Send>>,
@@ -119,7 +130,7 @@
             source: Source::Answer(Box::new(answer)),
             splitter: Splitter::default(),
             trace: std::mem::take(trace),
-            first: None,
+            progress: Progress::default(),
             outcome: "caller_left",
             kept: None,
         }
@@ -168,7 +179,7 @@
                 if events.is_empty() {
                     return None;
                 }
-                self.note_first();
+                self.note_event();
                 Some(Some(Ok(Frame::data(events))))
             }
             Some(Err(error)) => self.broken(&error.to_string()),
@@ -176,13 +187,16 @@
         }
     }
 
-    fn note_first(&mut self) {
-        if self.first.is_none() {
-            let now = Instant::now();
-            self.first = Some(now);
-            let time = now.duration_since(self.job.came);
-            self.gateway.metrics.first_event.observe(time.as_secs_f64());
+    fn note_event(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.progress.last.replace(now) {
+            let pause = now.duration_since(last);
+            self.progress.longest_pause = self.progress.longest_pause.max(pause);
+            return;
         }
+        let time = now.duration_since(self.job.came);
+        self.progress.first = Some(time);
+        self.gateway.metrics.first_event.observe(time.as_secs_f64());
     }
 
     fn ended(&mut self) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
@@ -236,8 +250,7 @@
             "complete" => Verdict::Ran,
             _ => Verdict::MayHaveRun,
         };
-        let first = self.first.map(|first| first.duration_since(self.job.came));
         self.gateway
-            .log_end(&self.job, self.outcome, verdict, &self.trace, first);
+            .log_end(&self.job, self.outcome, verdict, &self.trace, &self.progress);
     }
 }
