--- a/crates/tanagershift/src/daemon.rs
+++ b/crates/tanagershift/src/daemon.rs
@@ -219,6 +219,8 @@
             | Body::Watch(_)
             | Body::Notice(_)
             | Body::Tally(_)
+            | Body::Ask(_)
+            | Body::Grant(_)
             | Body::Error(_) => responder.finish_now(Body::Error(Failure {
                 reason: "not a question".to_owned(),
             })),
--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -218,6 +218,12 @@
         });
     }
 
+    /// Opens a stream at the leader as last known.
+    pub async fn call(&self, body: Body) -> Option<Call> {
+        let address = self.current.borrow().clone()?;
+        self.pool.call(&address, body).await.ok()
+    }
+
     /// Sends the leader as last known a message that has no answer.
     pub async fn tell(&self, body: Body) {
         let Some(address) = self.current.borrow().clone() else {
@@ -231,12 +237,11 @@
 
     /// Starts to follow the leader from a revision.
     async fn follow(&self, host: &str, revision: id::Revision) -> Option<Call> {
-        let address = self.current.borrow().clone()?;
         let follow = Follow {
             host: host.to_owned(),
             revision,
         };
-        self.pool.call(&address, Body::Follow(follow)).await.ok()
+        self.call(Body::Follow(follow)).await
     }
 }
 
--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -96,6 +96,8 @@
 pub struct Engine {
     /// Requests that run at once.
     pub slots: u32,
+    /// Tokens of running requests and kept prompts that a replica has memory for.
+    pub memory: u32,
     /// Places for adapters.
     pub adapter_slots: usize,
     /// Memory for weights and adapters in megabytes.
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -73,6 +73,7 @@
             settings.host.zone.clone(),
             session,
             dialect,
+            leader.clone(),
             config.budget.clone(),
             config.version_bound,
         ));
@@ -91,7 +92,7 @@
         tokio::spawn(link::serve(peers, greeting, handle));
         tokio::spawn(server::serve_figures(gateway.clone(), admin));
         let address = settings.host.peer.to_string();
-        follow(&gateway, &leader, &config, address);
+        follow(&gateway, &config, address);
         let operators = Control {
             gateway: gateway.clone(),
             leader: leader.clone(),
@@ -159,8 +160,8 @@
     seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect()
 }
 
-fn follow(gateway: &Arc<Gateway>, leader: &Leader, config: &Config, address: String) {
-    let follower = Follower::new(gateway.clone(), leader.clone(), config.clone(), address);
+fn follow(gateway: &Arc<Gateway>, config: &Config, address: String) {
+    let follower = Follower::new(gateway.clone(), config.clone(), address);
     tokio::spawn(follower.clone().watch());
     tokio::spawn(follower.clone().tally());
     tokio::spawn(follower.clone().fall_back());
@@ -221,6 +222,10 @@
                 Some(hub) if self.leads() => hub.take(hub::Input::Watch(watch, responder)),
                 _ => self.redirect(responder),
             },
+            Body::Ask(ask) => match &self.hub {
+                Some(hub) if self.leads() => hub.take(hub::Input::Ask(ask, responder)),
+                _ => self.redirect(responder),
+            },
             Body::Tally(tally) => {
                 if let Some(hub) = &self.hub {
                     hub.take(hub::Input::Tally(tally));
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -10,10 +10,10 @@
     Gateway,
     configuration::Route,
     connection::{Connection, Error},
-    dialect::{Call, Reply, Terms},
+    dialect::{Call as Head, Reply, Terms},
     feed::Upstream,
 };
-use crate::verdict::Verdict;
+use crate::{link::Call, verdict::Verdict};
 
 /// Connections that are tried at one upstream when idle ones turn out to be closed.
 const CONNECTIONS: usize = 3;
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub struct Job {
     /// What its head says.
-    pub call: Call,
+    pub call: Head,
     /// Route that it takes.
     pub route: Arc<Route>,
     /// Service that it was given to.
@@ -84,12 +84,18 @@
 pub struct Open {
     gateway: Arc<Gateway>,
     upstream: Arc<Upstream>,
+    /// Stream to the leader that gave the replica; its end tells that the request has ended.
+    _grant: Option<Call>,
 }
 
 impl Open {
-    fn new(gateway: Arc<Gateway>, upstream: Arc<Upstream>) -> Self {
-        gateway.view().open(&upstream.name);
-        Self { gateway, upstream }
+    fn new(gateway: Arc<Gateway>, found: Found) -> Self {
+        gateway.view().open(&found.upstream.name);
+        Self {
+            gateway,
+            upstream: found.upstream,
+            _grant: found.grant,
+        }
     }
 
     /// Upstream that has the request.
@@ -104,6 +110,17 @@
     }
 }
 
+/// An upstream that was found for a job.
+#[derive(Debug)]
+pub struct Found {
+    /// Upstream.
+    pub upstream: Arc<Upstream>,
+    /// Version of the job's adapter there.
+    pub version: Option<u64>,
+    /// Stream to the leader, where the leader chose.
+    pub grant: Option<Call>,
+}
+
 /// Sends a job to an upstream and waits for the head of the answer.
 ///
 /// # Errors
@@ -112,11 +129,12 @@
 pub async fn exchange(
     gateway: &Arc<Gateway>,
     job: &Job,
-    upstream: &Arc<Upstream>,
-    version: Option<u64>,
+    found: Found,
     resume_after: Option<u64>,
 ) -> Result<Answer, Failed> {
-    let open = Open::new(gateway.clone(), upstream.clone());
+    let version = found.version;
+    let upstream = &found.upstream.clone();
+    let open = Open::new(gateway.clone(), found);
     let sent = send(gateway, job, upstream, version, resume_after);
     let outcome = timeout_at(job.until, sent).await;
     let now = Instant::now();
--- a/crates/tanagershift/src/gateway/feed.rs
+++ b/crates/tanagershift/src/gateway/feed.rs
@@ -183,3 +183,66 @@
     #[prost(uint32, tag = "3")]
     pub waiting: u32,
 }
+
+/// Asks the leader for a replica; the stream stays open until the request has ended.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Ask {
+    /// Id of the request, for the log.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Base model.
+    #[prost(string, tag = "3")]
+    pub model: String,
+    /// Adapter as MODEL/NAME; empty for the base model.
+    #[prost(string, tag = "4")]
+    pub adapter: String,
+    /// Availability zone of the gateway.
+    #[prost(string, tag = "5")]
+    pub zone: String,
+    /// Prompt tokens.
+    #[prost(uint32, tag = "6")]
+    pub prompt: u32,
+    /// Most output tokens.
+    #[prost(uint32, tag = "7")]
+    pub output: u32,
+    /// Digests of the prompt's parts, each with all before it.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub digests: Vec<u64>,
+    /// Tokens of each part.
+    #[prost(uint32, repeated, tag = "9")]
+    pub tokens: Vec<u32>,
+    /// Rank; zero is the most urgent.
+    #[prost(uint32, tag = "10")]
+    pub priority: u32,
+    /// Milliseconds until the first event is due.
+    #[prost(int64, tag = "11")]
+    pub objective_ms: i64,
+    /// Milliseconds after which the request is refused if it still waits.
+    #[prost(uint64, tag = "12")]
+    pub give_up_ms: u64,
+    /// Replicas that it was sent to already.
+    #[prost(string, repeated, tag = "13")]
+    pub tried: Vec<String>,
+}
+
+/// Answer to a request for a replica.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Grant {
+    /// Replica; empty when the request is refused.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// Version of the adapter there; zero for none.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Milliseconds after which a refused request may come back.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+    /// Why it is refused.
+    #[prost(string, tag = "4")]
+    pub reason: String,
+}
--- a/crates/tanagershift/src/gateway/follow.rs
+++ b/crates/tanagershift/src/gateway/follow.rs
@@ -12,7 +12,7 @@
     feed::{Document, List, Notice, Tally, Watch},
     settings::Config,
 };
-use crate::{follower::Leader, link::Call, wire::Body};
+use crate::{link::Call, wire::Body};
 
 /// Longest wait for a leader to begin to tell.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -38,27 +38,21 @@
 pub struct Follower {
     /// The gateway.
     pub gateway: Arc<Gateway>,
-    /// Client of the group.
-    pub leader: Leader,
     /// Settings.
     pub config: Config,
     /// Peer address of this host.
     pub address: String,
-    /// When the last notice came.
-    pub heard: watch::Sender<Option<Instant>>,
     /// Time between two tallies, as the leader named it.
     pub interval: watch::Sender<Duration>,
 }
 
 impl Follower {
     /// Makes the loops' shared part.
-    pub fn new(gateway: Arc<Gateway>, leader: Leader, config: Config, address: String) -> Self {
+    pub fn new(gateway: Arc<Gateway>, config: Config, address: String) -> Self {
         Self {
             gateway,
-            leader,
             config,
             address,
-            heard: watch::Sender::new(None),
             interval: watch::Sender::new(TALLY_INTERVAL),
         }
     }
@@ -73,7 +67,7 @@
                 version,
                 address: self.address.clone(),
             });
-            let opened = self.leader.open(watch, WATCH_TIMEOUT, ATTEMPT).await;
+            let opened = self.gateway.leader.open(watch, WATCH_TIMEOUT, ATTEMPT).await;
             if let Some((call, Body::Notice(first))) = opened {
                 log::info!("event=leader.found term={}", first.term);
                 self.take(first);
@@ -104,13 +98,13 @@
 
     fn take(&self, notice: Notice) {
         let now = Instant::now();
-        self.heard.send_replace(Some(now));
+        self.gateway.heard.send_replace(Some(now));
         if notice.interval_ms > 0 {
             let interval = Duration::from_millis(notice.interval_ms.into());
             self.interval.send_replace(interval);
         }
         if !notice.voters.is_empty() {
-            self.leader.learn(notice.voters.clone());
+            self.gateway.leader.learn(notice.voters.clone());
         }
         let places = notice.whole || !notice.places.is_empty() || notice.list.is_some();
         self.gateway.view().take(&notice, now);
@@ -162,7 +156,7 @@
                     missing: view.take_missing(),
                 }
             };
-            self.leader.tell(Body::Tally(tally)).await;
+            self.gateway.leader.tell(Body::Tally(tally)).await;
         }
     }
 
@@ -171,8 +165,7 @@
         let mut number = 0;
         loop {
             sleep(self.config.list_interval).await;
-            let heard = *self.heard.borrow();
-            if heard.is_some_and(|heard| heard.elapsed() < LIST_STALE) {
+            if self.gateway.hears_leader(LIST_STALE) {
                 continue;
             }
             let hosts = self.gateway.view().hosts.max(1);
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -14,10 +14,10 @@
 
 use super::{
     Gateway,
+    ask::{Answer, ask},
     choose::{Choice, Need, choose},
     configuration::{Configuration, Kind, Route},
-    exchange::{Answer, Failed, Job, exchange},
-    feed::Upstream,
+    exchange::{self, Failed, Found, Job, exchange},
     relay::{Body, Progress, Stream},
 };
 use crate::{entry::retry::may_repeat, verdict::Verdict};
@@ -52,7 +52,7 @@
     }
 
     /// The job did not run and may come back.
-    fn later(reason: impl Into<String>) -> Self {
+    pub fn later(reason: impl Into<String>) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason: reason.into(),
@@ -129,9 +129,6 @@
         until: came + limit,
     };
     gateway.budget().request(&job.service, came);
-    if let Some(adapter) = &job.call.adapter {
-        gateway.view().count(adapter);
-    }
     serve(gateway, job, trace).await
 }
 
@@ -215,7 +212,7 @@
 async fn whole(
     gateway: &Arc<Gateway>,
     job: &Job,
-    mut answer: Answer,
+    mut answer: exchange::Answer,
 ) -> Result<Response<Body>, Failed> {
     let mut response = respond(gateway, &answer);
     let limit = MAX_WHOLE;
@@ -245,7 +242,7 @@
 /// Largest answer that is not a stream, in bytes.
 const MAX_WHOLE: usize = 32 << 20;
 
-fn respond(gateway: &Gateway, answer: &Answer) -> Response<Body> {
+fn respond(gateway: &Gateway, answer: &exchange::Answer) -> Response<Body> {
     let mut response = Response::new(Body::whole(Bytes::new()));
     *response.status_mut() = answer.head.status;
     *response.headers_mut() = gateway.dialect.answer(&answer.head.headers);
@@ -262,12 +259,12 @@
     job: &Job,
     trace: &mut Trace,
     resume_after: Option<u64>,
-) -> Result<Answer, Rejection> {
+) -> Result<exchange::Answer, Rejection> {
     loop {
         let found = find(gateway, job, trace).await;
-        let (upstream, version) = found.map_err(|rejection| honest(rejection, trace))?;
-        trace.tried.push(upstream.name.clone());
-        let outcome = exchange(gateway, job, &upstream, version, resume_after).await;
+        let found = found.map_err(|rejection| honest(rejection, trace))?;
+        trace.tried.push(found.upstream.name.clone());
+        let outcome = exchange(gateway, job, found, resume_after).await;
         let failed = match outcome {
             Ok(answer) => {
                 trace.arrivals += 1;
@@ -298,7 +295,7 @@
 }
 
 /// An answer of the upstream, unless its status would promise that the job did not run.
-fn final_answer(job: &Job, answer: Answer) -> Result<Answer, Rejection> {
+fn final_answer(job: &Job, answer: exchange::Answer) -> Result<exchange::Answer, Rejection> {
     let promises = matches!(answer.head.status.as_u16(), 408 | 421 | 429 | 503);
     if promises && !job.route.may_repeat() {
         let reason = format!("upstream answered {} after it ran", answer.head.status);
@@ -346,8 +343,26 @@
     gateway: &Arc<Gateway>,
     job: &Job,
     trace: &mut Trace,
-) -> Result<(Arc<Upstream>, Option<u64>), Rejection> {
+) -> Result<Found, Rejection> {
     let began = Instant::now();
+    if job.call.model.is_some() {
+        match ask(gateway, job, &trace.tried).await {
+            Answer::Granted(upstream, version, grant) => {
+                trace.stalled += began.elapsed();
+                gateway.metrics.stalls.observe(began.elapsed().as_secs_f64());
+                return Ok(Found {
+                    upstream,
+                    version,
+                    grant: Some(grant),
+                });
+            }
+            Answer::Refused(rejection) => return Err(rejection),
+            Answer::NoLeader => {}
+        }
+        if let Some(adapter) = &job.call.adapter {
+            gateway.view().count(adapter);
+        }
+    }
     let mut waiting: Option<Waiting> = None;
     let mut changed = gateway.changed.subscribe();
     loop {
@@ -367,7 +382,11 @@
                     trace.stalled += now - began;
                     gateway.metrics.stalls.observe((now - began).as_secs_f64());
                 }
-                return Ok((upstream, version));
+                return Ok(Found {
+                    upstream,
+                    version,
+                    grant: None,
+                });
             }
             Choice::Nobody => return Err(Rejection::later("no upstream of the service is live")),
             Choice::Absent if now + SERVE_MIN >= job.until => {
--- a/crates/tanagershift/src/gateway/hub.rs
+++ b/crates/tanagershift/src/gateway/hub.rs
@@ -2,7 +2,8 @@
 //! changed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -16,9 +17,10 @@
 use super::{
     Gateway, cloud,
     dialect::{Order, Ordered, Report},
-    feed::{Announcement, Counts, Document, List, Notice, Place, Tally, Upstream, Watch},
+    feed::{Announcement, Ask, Counts, Demand, Document, Grant, List, Notice, Place, Tally, Upstream, Watch},
     orders,
     placement::{self, Action, Adapter, Placement},
+    schedule::{self, Candidate, Decision, Job, Number, Part, Schedule},
     settings::Config,
 };
 use crate::{
@@ -39,6 +41,14 @@
 const NOTICE_GATEWAYS: u32 = 16;
 /// Time after which a gateway that tells nothing is no longer counted.
 const GATEWAY_LIFE: Duration = Duration::from_secs(3);
+/// Time between two summaries in the log.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two checks for requests that have ended.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
+/// Wait at busy replicas after which one more gets the adapter.
+const PRESS_AFTER: Duration = Duration::from_millis(400);
+/// Time after which a refused request may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// Allowance for clocks that run apart when an earlier leader's last order is waited out.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 /// Term of the first leader of a group; nobody can have given orders before it.
@@ -51,6 +61,8 @@
     Watch(Watch, Responder),
     /// A gateway tells what it has seen.
     Tally(Tally),
+    /// A gateway asks for a replica.
+    Ask(Ask, Responder),
     /// The list was read.
     List(Vec<Upstream>),
     /// An order was answered, or was not.
@@ -89,6 +101,14 @@
     at: Instant,
 }
 
+/// A request for a replica whose stream is open.
+#[derive(Debug)]
+struct Asked {
+    request: String,
+    responder: Responder,
+    came: Instant,
+}
+
 /// What a leader keeps.
 #[derive(Debug)]
 struct Leading {
@@ -96,6 +116,14 @@
     /// When orders may begin: every earlier leader's lease and silence have passed.
     orders_from: Instant,
     placement: Placement,
+    schedule: Schedule,
+    asked: BTreeMap<Number, Asked>,
+    next_number: Number,
+    next_sweep: Instant,
+    /// Sizes of the engines.
+    memory: BTreeMap<String, u32>,
+    /// Open requests at replicas that were not scheduled here.
+    others: BTreeMap<id::Upstream, u32>,
     watchers: Vec<Watcher>,
     list: List,
     told: BTreeMap<id::Host, Told>,
@@ -104,6 +132,7 @@
     /// Changes of places that not every gateway was told yet.
     changes: Vec<Place>,
     next_notice: Instant,
+    next_summary: Instant,
     version: u64,
     announced: Arc<BTreeMap<String, u64>>,
     voters: Vec<String>,
@@ -176,7 +205,10 @@
         if let Some(due) = leading.placement.next_due() {
             wake = wake.min(due.max(leading.orders_from));
         }
-        wake
+        if !leading.asked.is_empty() {
+            wake = wake.min(leading.next_sweep);
+        }
+        leading.schedule.next_due(Instant::now()).map_or(wake, |due| wake.min(due))
     }
 
     /// Takes a change of what the group has decided, or of who leads it.
@@ -196,7 +228,14 @@
         {
             leading.version = document.version;
             match self.gateway.dialect.configuration(&document.text) {
-                Ok(configuration) => leading.placement.configure(&configuration),
+                Ok(configuration) => {
+                    leading.placement.configure(&configuration);
+                    let services = configuration.services.values();
+                    let memory = services.filter_map(|service| {
+                        Some((service.name.clone(), service.engine.as_ref()?.memory))
+                    });
+                    leading.memory = memory.collect();
+                }
                 Err(error) => log::error!(
                     "event=configuration.unreadable version={} reason={error}",
                     document.version
@@ -242,12 +281,19 @@
                 version_grace: self.config.version_bound.mul_f64(0.6),
                 ..placement::Config::default()
             }),
+            schedule: Schedule::new(schedule::Config::default()),
+            asked: BTreeMap::new(),
+            next_number: 1,
+            next_sweep: now,
+            memory: BTreeMap::new(),
+            others: BTreeMap::new(),
             watchers: Vec::new(),
             list: List::default(),
             told: BTreeMap::new(),
             wanting: BTreeMap::new(),
             changes: Vec::new(),
             next_notice: now,
+            next_summary: now,
             version: 0,
             announced: Arc::default(),
             voters: Vec::new(),
@@ -267,6 +313,7 @@
                 leading.watch(watch, responder, standing.document.as_ref(), now);
             }
             Input::Tally(tally) => leading.tally(tally, now),
+            Input::Ask(ask, responder) => leading.ask(ask, responder, now),
             Input::List(upstreams) => leading.take_list(upstreams, now),
             Input::Ordered(term, replica, number, outcome) if term == leading.term => {
                 leading.placement.ordered(&replica, number, outcome, now);
@@ -284,6 +331,8 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
+        leading.sweep(now);
+        leading.decide(now);
         if now >= leading.orders_from && self.board.holds_lease() {
             for action in leading.placement.tick(now) {
                 carry_out(&self.gateway, &self.board, &self.inputs, leading, action);
@@ -399,6 +448,170 @@
         tokio::spawn(feed(first, receiver, responder));
     }
 
+    /// Puts a request for a replica in the queue.
+    fn ask(&mut self, ask: Ask, responder: Responder, now: Instant) {
+        let number = self.next_number;
+        self.next_number += 1;
+        let adapter = (!ask.adapter.is_empty()).then_some(ask.adapter);
+        if let Some(adapter) = &adapter {
+            let demand = Demand {
+                adapter: adapter.clone(),
+                came: 1,
+                waiting: 0,
+            };
+            self.placement.demand(&[demand], now);
+        }
+        let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
+        let objective = match ask.objective_ms >= 0 {
+            true => now + objective,
+            false => now.checked_sub(objective).unwrap_or(now),
+        };
+        let parts = ask.digests.iter().zip(&ask.tokens);
+        self.schedule.add(Job {
+            number,
+            service: ask.service,
+            model: ask.model,
+            adapter,
+            zone: ask.zone,
+            prompt: ask.prompt,
+            output: ask.output,
+            parts: parts
+                .map(|(digest, tokens)| Part {
+                    digest: *digest,
+                    tokens: *tokens,
+                })
+                .collect(),
+            priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
+            came: now,
+            objective,
+            give_up: now + Duration::from_millis(ask.give_up_ms),
+            tried: ask.tried,
+        });
+        self.asked.insert(
+            number,
+            Asked {
+                request: ask.request,
+                responder,
+                came: now,
+            },
+        );
+    }
+
+    /// Forgets requests that have ended.
+    fn sweep(&mut self, now: Instant) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
+        let ended = self.asked.iter().filter(|(_, asked)| asked.responder.is_cancelled());
+        let ended: Vec<Number> = ended.map(|(number, _)| *number).collect();
+        for number in ended {
+            self.end(number);
+        }
+    }
+
+    fn end(&mut self, number: Number) {
+        self.asked.remove(&number);
+        if let Some(running) = self.schedule.end(number)
+            && let Some(adapter) = &running.adapter
+        {
+            self.placement.count_use(&running.replica, adapter, false);
+        }
+    }
+
+    /// Gives replicas to requests, and asks the placement for what is missing.
+    fn decide(&mut self, now: Instant) {
+        let (placement, others, memory) = (&self.placement, &self.others, &self.memory);
+        let candidate = |replica: &placement::Replica, version: Option<u64>| Candidate {
+            name: replica.upstream.name.clone(),
+            zone: replica.upstream.zone.clone(),
+            slots: replica.upstream.slots,
+            memory: memory.get(&replica.upstream.service).copied().unwrap_or(0),
+            others: others.get(&replica.upstream.name).copied().unwrap_or(0),
+            version,
+        };
+        let mut missing = Vec::new();
+        // Jobs of one pass that need the same share the search.
+        let mut known: HashMap<(String, Option<String>), Rc<[Candidate]>> = HashMap::new();
+        let decisions = self.schedule.decide(now, |job| {
+            let key = (job.model.clone(), job.adapter.clone());
+            let found = known.entry(key).or_insert_with(|| {
+                let mine = |one: &&placement::Replica| one.upstream.service == job.service;
+                match &job.adapter {
+                    None => {
+                        let holders = placement.holders(&job.model).filter(mine);
+                        holders.map(|one| candidate(one, None)).collect()
+                    }
+                    Some(adapter) => {
+                        let usable = placement.usable(adapter, now).into_iter();
+                        let usable = usable.filter(|(one, _)| mine(&one));
+                        usable
+                            .map(|(one, version)| candidate(one, Some(version)))
+                            .collect()
+                    }
+                }
+            });
+            if let Some(adapter) = &job.adapter {
+                let untried = found.iter().any(|one| !job.tried.contains(&one.name));
+                if !untried || now > job.came + PRESS_AFTER {
+                    missing.push((adapter.clone(), found.is_empty()));
+                }
+            }
+            found.clone()
+        });
+        for (adapter, absent) in missing {
+            match absent {
+                true => self.placement.want(&adapter, now),
+                false => self.placement.press(&adapter, now),
+            }
+        }
+        for decision in decisions {
+            self.tell_decision(decision, now);
+        }
+    }
+
+    fn tell_decision(&mut self, decision: Decision, now: Instant) {
+        match decision {
+            Decision::Send {
+                number,
+                replica,
+                adapter,
+                version,
+            } => {
+                if let Some(adapter) = &adapter {
+                    self.placement.count_use(&replica, adapter, true);
+                }
+                let Some(asked) = self.asked.get(&number) else {
+                    return;
+                };
+                let grant = Body::Grant(Grant {
+                    replica,
+                    version: version.unwrap_or(0),
+                    ..Grant::default()
+                });
+                if asked.responder.send_now(grant).is_err() {
+                    self.end(number);
+                }
+            }
+            Decision::Refuse { number, holders } => {
+                let Some(asked) = self.asked.remove(&number) else {
+                    return;
+                };
+                log::info!(
+                    "event=schedule.refuse request={} waited_ms={} waiting={} holders={holders}",
+                    asked.request,
+                    now.duration_since(asked.came).as_millis(),
+                    self.asked.len()
+                );
+                asked.responder.finish_now(Body::Grant(Grant {
+                    retry_after_ms: RETRY_AFTER.as_millis() as u64,
+                    reason: "no replica could begin it in time".to_owned(),
+                    ..Grant::default()
+                }));
+            }
+        }
+    }
+
     fn hosts(&self) -> u32 {
         self.told.len() as u32
     }
@@ -443,6 +656,9 @@
         }
         let first = self.list.number == 0;
         self.placement.list(&upstreams, now);
+        let listed: BTreeSet<&str> = upstreams.iter().map(|one| one.name.as_str()).collect();
+        self.schedule.retain(|name| listed.contains(name));
+        self.others.retain(|name, _| listed.contains(name.as_str()));
         self.list = List {
             number: self.list.number.max(self.term << 32) + 1,
             upstreams,
@@ -472,6 +688,9 @@
         }
         for (upstream, count) in self.list.upstreams.iter().zip(&counts) {
             self.placement.set_open(&upstream.name, *count);
+            let scheduled = self.schedule.running(&upstream.name);
+            let others = count.saturating_sub(scheduled);
+            self.others.insert(upstream.name.clone(), others);
         }
         Counts {
             list: self.list.number,
@@ -503,6 +722,17 @@
         let places = std::mem::take(&mut self.changes);
         let interval = self.interval();
         self.next_notice = now + interval;
+        if now >= self.next_summary {
+            self.next_summary = now + SUMMARY_INTERVAL;
+            log::info!(
+                "event=hub.summary term={} hosts={} waiting={} open={} {:?}",
+                self.term,
+                self.told.len(),
+                self.schedule.waiting().count(),
+                self.asked.len(),
+                self.placement.summary()
+            );
+        }
         self.broadcast(&Notice {
             places,
             open: Some(open),
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! `relay`. Beside it:
 //!
 //! * `configuration`: routes, services and limits in force.
+//! * `schedule`: which waiting request goes to which replica; `ask` is the gateway's side of it.
 //! * `view`: what this gateway knows of upstreams and adapters; `follow` keeps it up to date.
 //! * `hub`: the leader's part: reads the list, places adapters, tells the gateways.
 //! * `placement`: which adapter is loaded where; `orders` carries it out.
@@ -12,6 +13,7 @@
 //! * `control`: what operators ask.
 //! * `daemon`: everything started together.
 
+pub mod ask;
 pub mod budget;
 pub mod choose;
 pub mod client;
@@ -31,6 +33,7 @@
 pub mod orders;
 pub mod placement;
 pub mod relay;
+pub mod schedule;
 pub mod server;
 pub mod settings;
 #[cfg(test)]
@@ -47,7 +50,7 @@
     time::Instant,
 };
 
-use crate::{id, verdict::Verdict};
+use crate::{follower::Leader, id, verdict::Verdict};
 use budget::Budget;
 use connection::Pool;
 use dialect::Dialect;
@@ -72,6 +75,10 @@
     pub pool: Pool,
     /// Figures for the operators.
     pub metrics: Figures,
+    /// Client of the group.
+    pub leader: Leader,
+    /// When the leader last told something.
+    pub heard: watch::Sender<Option<Instant>>,
     /// Tells that places changed.
     pub changed: watch::Sender<u64>,
     /// Tells that a request waits for an adapter.
@@ -89,6 +96,7 @@
         zone: id::Zone,
         session: u64,
         dialect: Arc<dyn Dialect>,
+        leader: Leader,
         budget: budget::Config,
         version_bound: Duration,
     ) -> Self {
@@ -99,6 +107,8 @@
             dialect,
             pool: Pool::default(),
             metrics: Figures::default(),
+            leader,
+            heard: watch::Sender::new(None),
             changed: watch::Sender::new(0),
             wanted: Notify::new(),
             draining: watch::Sender::new(false),
@@ -122,6 +132,12 @@
         *self.draining.borrow()
     }
 
+    /// Whether the leader has told something lately.
+    pub fn hears_leader(&self, limit: Duration) -> bool {
+        let heard = *self.heard.borrow();
+        heard.is_some_and(|heard| heard.elapsed() < limit)
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.view().configuration.is_some()
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -107,12 +107,36 @@
     },
 }
 
+/// Places by state, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Replicas known.
+    pub replicas: usize,
+    /// Replicas that can be given orders.
+    pub usable: usize,
+    /// Places that are free.
+    pub free: usize,
+    /// Loads that are decided and not ordered.
+    pub planned: usize,
+    /// Loads under way.
+    pub loading: usize,
+    /// Loaded adapters on which requests run.
+    pub used: usize,
+    /// Loaded adapters on which none runs.
+    pub idle: usize,
+    /// Adapters that gateways are told to avoid.
+    pub retiring: usize,
+    /// Unloads that wait for requests to end.
+    pub unloading: usize,
+    /// Adapters that requests wait for.
+    pub wanted: usize,
+}
+
 /// An adapter that requests wait for.
 #[derive(Clone, Debug)]
 struct Want {
     since: Instant,
     heard: Instant,
-    waiting: u32,
 }
 
 /// The placement of all adapters on all replicas.
@@ -205,21 +229,25 @@
                 self.total.add(&(), one.came, now);
             }
             if one.waiting > 0 {
-                let plan_at = &mut self.plan_at;
-                let want = self.wants.entry(one.adapter.clone()).or_insert_with(|| {
-                    *plan_at = None;
-                    Want {
-                        since: now,
-                        heard: now,
-                        waiting: 0,
-                    }
-                });
-                want.heard = now;
-                want.waiting = want.waiting.max(one.waiting);
+                self.want(&one.adapter, now);
             }
         }
     }
 
+    /// Takes note that requests wait for an adapter that no replica has.
+    pub fn want(&mut self, adapter: &str, now: Instant) {
+        if let Some(want) = self.wants.get_mut(adapter) {
+            want.heard = now;
+            return;
+        }
+        let want = Want {
+            since: now,
+            heard: now,
+        };
+        self.wants.insert(adapter.to_owned(), want);
+        self.plan_at = None;
+    }
+
     /// Takes the open requests of all gateways at a replica.
     pub fn set_open(&mut self, replica: &str, open: u32) {
         if let Some(replica) = self.replicas.get_mut(replica) {
@@ -227,6 +255,13 @@
         }
     }
 
+    /// Counts a request that begins on an adapter at a replica, or ends.
+    pub fn count_use(&mut self, replica: &str, adapter: &str, begins: bool) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.count_use(adapter, begins);
+        }
+    }
+
     /// Takes a newly announced version of an adapter.
     pub fn announce(&mut self, adapter: &str, version: u64, now: Instant) {
         let known = self.announced.get(adapter);
@@ -265,6 +300,72 @@
         self.replicas.iter().flat_map(ready).collect()
     }
 
+    /// Replicas that a request for an adapter may be sent to now, with the version there.
+    ///
+    /// An older version than the announced one counts only while no replica has the newest and the
+    /// grace period lasts.
+    pub fn usable(&self, adapter: &str, now: Instant) -> Vec<(&Replica, u64)> {
+        let ready = |replica: &Replica| {
+            let slot = replica.slots.get(adapter)?;
+            let usable = slot.state == State::Ready && !replica.upstream.draining;
+            usable.then_some(slot.version)
+        };
+        let found = self.replicas.values();
+        let found = found.filter_map(|replica| Some((replica, ready(replica)?)));
+        let mut found: Vec<(&Replica, u64)> = found.collect();
+        if let Some((newest, at)) = self.announced.get(adapter) {
+            let fresh = found.iter().any(|(_, version)| version >= newest);
+            if fresh || now > *at + self.config.version_grace {
+                found.retain(|(_, version)| version >= newest);
+            }
+        }
+        found
+    }
+
+    /// Replicas that hold a base model and take requests.
+    pub fn holders<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Replica> {
+        let replicas = self.replicas.values();
+        replicas.filter(move |one| !one.upstream.draining && one.holds(model))
+    }
+
+    /// Takes note that requests wait for an adapter although some replicas have it, since these
+    /// are busy; one more replica gets it unless one is on its way.
+    pub fn press(&mut self, adapter: &str, now: Instant) {
+        let coming = |replica: &Replica| {
+            let slot = replica.slots.get(adapter);
+            slot.is_some_and(|slot| matches!(slot.state, State::Planned | State::Loading { .. }))
+        };
+        let busy = self.store_transit() * 2 > self.config.store_transit;
+        if !busy && !self.replicas.values().any(coming) {
+            let mut expected = self.expected_work(now);
+            self.plan(adapter, &mut expected, now);
+        }
+    }
+
+    /// How many places are in which state, over all replicas.
+    pub fn summary(&self) -> Summary {
+        let mut summary = Summary {
+            wanted: self.wants.len(),
+            ..Summary::default()
+        };
+        for replica in self.replicas.values() {
+            summary.replicas += 1;
+            summary.usable += usize::from(replica.is_usable());
+            summary.free += replica.free();
+            for (adapter, slot) in &replica.slots {
+                match slot.state {
+                    State::Planned => summary.planned += 1,
+                    State::Loading { .. } => summary.loading += 1,
+                    State::Ready if replica.is_used(adapter) => summary.used += 1,
+                    State::Ready => summary.idle += 1,
+                    State::Retiring { .. } => summary.retiring += 1,
+                    State::Unloading { .. } => summary.unloading += 1,
+                }
+            }
+        }
+        summary
+    }
+
     /// Replicas, for figures and tests.
     pub fn replicas(&self) -> &BTreeMap<id::Upstream, Replica> {
         &self.replicas
@@ -514,7 +615,10 @@
                 slot.state == State::Ready && now > slot.since + MIN_STAY
             };
             let mut ready: Vec<_> = replica.slots.iter().filter(settled).collect();
-            ready.sort_by(|left, right| worth(left.0).total_cmp(&worth(right.0)));
+            ready.sort_by(|(left, _), (right, _)| {
+                let used = replica.is_used(left).cmp(&replica.is_used(right));
+                used.then(worth(left).total_cmp(&worth(right)))
+            });
             let count = spare.saturating_sub(free);
             let coldest = ready.into_iter().take(count);
             retired.extend(coldest.map(|(adapter, _)| (name.clone(), adapter.clone())));
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -85,6 +85,8 @@
     pub pending: Option<Pending>,
     /// Requests that all gateways have open there.
     pub open: u32,
+    /// Requests that run on each adapter, as far as they were scheduled here.
+    pub uses: BTreeMap<Adapter, u32>,
     /// Adapters that were unloaded here, newest last.
     recent: VecDeque<Adapter>,
 }
@@ -111,6 +113,7 @@
             slots,
             pending: None,
             open: 0,
+            uses: BTreeMap::new(),
             recent: VecDeque::new(),
         }
     }
@@ -142,6 +145,23 @@
         self.recent.iter().any(|known| known == adapter)
     }
 
+    /// Whether requests run on an adapter, so that an unload would have to wait for them.
+    pub fn is_used(&self, adapter: &str) -> bool {
+        self.uses.contains_key(adapter)
+    }
+
+    /// Counts a request that begins on an adapter, or ends.
+    pub fn count_use(&mut self, adapter: &str, begins: bool) {
+        let uses = self.uses.entry(adapter.to_owned()).or_default();
+        *uses = match begins {
+            true => *uses + 1,
+            false => uses.saturating_sub(1),
+        };
+        if *uses == 0 {
+            self.uses.remove(adapter);
+        }
+    }
+
     /// Takes an adapter out.
     pub fn remove(&mut self, adapter: &str) -> Option<Slot> {
         let slot = self.slots.remove(adapter)?;
--- /dev/null
+++ b/crates/tanagershift/src/gateway/schedule.rs
@@ -0,0 +1,357 @@
+//! Which waiting request goes to which replica, and when.
+//!
+//! The leader decides for all gateways, since only together do their requests show what a replica
+//! has to do. A replica reads prompts between the tokens of the requests that run there: too many
+//! prompts at once and the pauses in their streams grow past the objective. So prompts are paced by
+//! the replica's reading speed, and requests wait here, in order of urgency, rather than there.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::id;
+
+/// Number of a request at the leader.
+pub type Number = u64;
+
+/// Limits of the pacing.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Prompt tokens that a replica may have to read at once.
+    pub burst: f64,
+    /// Prompt tokens that a replica reads in a millisecond beside its other work.
+    pub rate: f64,
+    /// Part of a replica's memory for tokens that is given out.
+    pub memory_share: f64,
+    /// Part of a replica's slots that is given out.
+    pub slot_share: f64,
+    /// Time for which a replica is taken to keep a part of a prompt that it has read.
+    pub prefix_life: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            burst: 1600.0,
+            rate: 15.0,
+            memory_share: 0.9,
+            slot_share: 0.95,
+            prefix_life: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Milliseconds of waiting that another availability zone is worth avoiding.
+const ZONE_COST: f64 = 15.0;
+/// Milliseconds of waiting that a full replica costs against an empty one.
+const FILL_COST: f64 = 60.0;
+/// Parts of prompts that are remembered for each replica.
+const PARTS: usize = 4096;
+
+/// A part of a prompt, with everything before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Digest of the adapter and all parts up to this one.
+    pub digest: u64,
+    /// Tokens of this part.
+    pub tokens: u32,
+}
+
+/// A request that waits for a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Its number.
+    pub number: Number,
+    /// Service.
+    pub service: String,
+    /// Base model.
+    pub model: String,
+    /// Adapter as MODEL/NAME.
+    pub adapter: Option<String>,
+    /// Availability zone of its gateway.
+    pub zone: id::Zone,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Most output tokens.
+    pub output: u32,
+    /// Parts of the prompt in order.
+    pub parts: Vec<Part>,
+    /// Rank; zero is the most urgent.
+    pub priority: u8,
+    /// When it came.
+    pub came: Instant,
+    /// When its first event is due to meet the objective.
+    pub objective: Instant,
+    /// When it is refused if it still waits.
+    pub give_up: Instant,
+    /// Replicas that it was sent to already.
+    pub tried: Vec<id::Upstream>,
+}
+
+/// A replica that may be given a job now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Name.
+    pub name: id::Upstream,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that it has memory for; zero if unknown.
+    pub memory: u32,
+    /// Open requests there that were not scheduled here.
+    pub others: u32,
+    /// Version of the job's adapter there.
+    pub version: Option<u64>,
+}
+
+/// What happens to a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It is sent to a replica.
+    Send {
+        /// Job.
+        number: Number,
+        /// Replica.
+        replica: id::Upstream,
+        /// Adapter of the job.
+        adapter: Option<String>,
+        /// Version of its adapter there.
+        version: Option<u64>,
+    },
+    /// It cannot be served in time.
+    Refuse {
+        /// Job.
+        number: Number,
+        /// Replicas that had what it needs, all of them busy.
+        holders: usize,
+    },
+}
+
+/// What the scheduler has given to one replica.
+#[derive(Clone, Debug)]
+struct Load {
+    /// Prompt tokens that are not read yet, at a time.
+    backlog: f64,
+    at: Instant,
+    /// Tokens of each job that runs there.
+    jobs: BTreeMap<Number, u32>,
+    /// Parts of prompts that it has read lately.
+    parts: HashMap<u64, Instant>,
+}
+
+impl Load {
+    fn new(now: Instant) -> Self {
+        Self {
+            backlog: 0.0,
+            at: now,
+            jobs: BTreeMap::new(),
+            parts: HashMap::new(),
+        }
+    }
+
+    fn backlog(&self, rate: f64, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64() * 1000.0;
+        (self.backlog - passed * rate).max(0.0)
+    }
+
+    /// Prompt tokens of a job that must be read there.
+    fn unread(&self, job: &Job, life: Duration, now: Instant) -> u32 {
+        let kept = |part: &&Part| {
+            let read = self.parts.get(&part.digest);
+            read.is_some_and(|read| now < *read + life)
+        };
+        let kept: u32 = job.parts.iter().take_while(kept).map(|part| part.tokens).sum();
+        job.prompt.saturating_sub(kept)
+    }
+
+    fn note_parts(&mut self, job: &Job, life: Duration, now: Instant) {
+        if self.parts.len() > PARTS {
+            self.parts.retain(|_, read| now < *read + life);
+        }
+        for part in &job.parts {
+            self.parts.insert(part.digest, now);
+        }
+    }
+}
+
+/// Requests that wait, and what was given to each replica.
+#[derive(Debug)]
+pub struct Schedule {
+    config: Config,
+    waiting: BTreeMap<Number, Job>,
+    loads: BTreeMap<id::Upstream, Load>,
+    running: BTreeMap<Number, Running>,
+}
+
+/// A job that was given to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// Replica.
+    pub replica: id::Upstream,
+    /// Adapter.
+    pub adapter: Option<String>,
+}
+
+impl Schedule {
+    /// Starts with nothing waiting.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            waiting: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a job.
+    pub fn add(&mut self, job: Job) {
+        self.waiting.insert(job.number, job);
+    }
+
+    /// Forgets a job that has ended or whose caller has left; returns where it ran.
+    pub fn end(&mut self, number: Number) -> Option<Running> {
+        self.waiting.remove(&number);
+        let running = self.running.remove(&number)?;
+        if let Some(load) = self.loads.get_mut(&running.replica) {
+            load.jobs.remove(&number);
+        }
+        Some(running)
+    }
+
+    /// Jobs that were given to a replica and have not ended.
+    pub fn running(&self, replica: &str) -> u32 {
+        let load = self.loads.get(replica);
+        load.map_or(0, |load| load.jobs.len() as u32)
+    }
+
+    /// Jobs that wait.
+    pub fn waiting(&self) -> impl Iterator<Item = &Job> {
+        self.waiting.values()
+    }
+
+    /// Forgets replicas that are gone.
+    pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
+        self.loads.retain(|name, _| listed(name));
+    }
+
+    /// Decides what can be decided now, the most urgent jobs first.
+    ///
+    /// `candidates` names the replicas that have what a job needs.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        mut candidates: impl FnMut(&Job) -> Rc<[Candidate]>,
+    ) -> Vec<Decision> {
+        let mut order: Vec<(bool, u8, Instant, Number)> = self
+            .waiting
+            .values()
+            .map(|job| (now > job.objective, job.priority, job.objective, job.number))
+            .collect();
+        order.sort();
+        let mut decisions = Vec::new();
+        for (_, _, _, number) in order {
+            let Some(job) = self.waiting.get(&number) else {
+                continue;
+            };
+            let found = candidates(job);
+            if let Some((replica, version)) = self.choose(job, &found, now) {
+                let adapter = job.adapter.clone();
+                self.give(number, &replica, now);
+                decisions.push(Decision::Send {
+                    number,
+                    replica,
+                    adapter,
+                    version,
+                });
+            } else if now >= job.give_up {
+                let holders = found.len();
+                decisions.push(Decision::Refuse { number, holders });
+                self.waiting.remove(&number);
+            }
+        }
+        decisions
+    }
+
+    /// The candidate that would begin the job first, if any may be given it now.
+    fn choose(
+        &self,
+        job: &Job,
+        candidates: &[Candidate],
+        now: Instant,
+    ) -> Option<(id::Upstream, Option<u64>)> {
+        let mut best: Option<(f64, &Candidate)> = None;
+        for candidate in candidates {
+            if job.tried.contains(&candidate.name) {
+                continue;
+            }
+            let Some(cost) = self.cost(job, candidate, now) else {
+                continue;
+            };
+            if best.is_none_or(|(known, _)| cost < known) {
+                best = Some((cost, candidate));
+            }
+        }
+        best.map(|(_, candidate)| (candidate.name.clone(), candidate.version))
+    }
+
+    /// Milliseconds until a replica would have read a job's prompt, and what else counts against
+    /// it; `None` while it may not be given the job.
+    fn cost(&self, job: &Job, candidate: &Candidate, now: Instant) -> Option<f64> {
+        let fresh = Load::new(now);
+        let load = self.loads.get(&candidate.name).unwrap_or(&fresh);
+        let open = candidate.others + load.jobs.len() as u32;
+        let slots = f64::from(candidate.slots.max(1));
+        if f64::from(open + 1) > (slots * self.config.slot_share).max(1.0) {
+            return None;
+        }
+        let used: u32 = load.jobs.values().sum();
+        let memory = f64::from(candidate.memory) * self.config.memory_share;
+        let wanted = f64::from(used + job.prompt + job.output);
+        if candidate.memory > 0 && wanted > memory && !load.jobs.is_empty() {
+            return None;
+        }
+        let unread = f64::from(load.unread(job, self.config.prefix_life, now));
+        let backlog = load.backlog(self.config.rate, now);
+        if backlog > 0.0 && backlog + unread > self.config.burst {
+            return None;
+        }
+        let zone = if candidate.zone == job.zone { 0.0 } else { ZONE_COST };
+        let fill = f64::from(open) / slots * FILL_COST;
+        Some((backlog + unread) / self.config.rate + zone + fill)
+    }
+
+    fn give(&mut self, number: Number, replica: &str, now: Instant) {
+        let Some(job) = self.waiting.remove(&number) else {
+            return;
+        };
+        let (rate, life) = (self.config.rate, self.config.prefix_life);
+        let load = self
+            .loads
+            .entry(replica.to_owned())
+            .or_insert_with(|| Load::new(now));
+        let unread = f64::from(load.unread(&job, life, now));
+        load.backlog = load.backlog(rate, now) + unread;
+        load.at = now;
+        load.jobs.insert(number, job.prompt + job.output);
+        load.note_parts(&job, life, now);
+        let running = Running {
+            replica: replica.to_owned(),
+            adapter: job.adapter,
+        };
+        self.running.insert(number, running);
+    }
+
+    /// When the backlog of some replica will have shrunk enough to decide again; `None` when
+    /// nothing waits.
+    pub fn next_due(&self, now: Instant) -> Option<Instant> {
+        (!self.waiting.is_empty()).then(|| now + DECIDE_INTERVAL)
+    }
+}
+
+/// Time between two decisions while jobs wait.
+const DECIDE_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// An upstream of the list.
+    pub fn upstream(&self, name: &str) -> Option<Arc<Upstream>> {
+        let known = self.upstreams.get(name)?;
+        Some(known.upstream.clone())
+    }
+
     /// Every upstream of a service.
     pub fn service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Known> {
         let upstreams = self.upstreams.values();
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -452,6 +452,20 @@
         self.write(body, true).await
     }
 
+    /// Sends a message that is not the last, unless too much waits for the connection.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended, or too much waits for it.
+    pub fn send_now(&self, body: Body) -> Result<(), Error> {
+        let frame = Frame {
+            stream: self.stream,
+            last: false,
+            body: Some(body),
+        };
+        self.writer.try_send(frame).map_err(|_| Error::Lost)
+    }
+
     /// Sends the last message unless too much waits for the connection.
     pub fn finish_now(mut self, body: Body) {
         self.finish_with(body);
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -44,7 +44,7 @@
     #[prost(
         oneof = "Body",
         tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, \
-                26, 27, 28"
+                26, 27, 28, 29, 30"
     )]
     pub body: Option<Body>,
 }
@@ -131,6 +131,12 @@
     /// What a gateway has seen: demand, open requests, adapters that it lacks.
     #[prost(message, tag = "28")]
     Tally(feed::Tally),
+    /// A gateway asks the leader for a replica.
+    #[prost(message, tag = "29")]
+    Ask(feed::Ask),
+    /// Answer to a request for a replica.
+    #[prost(message, tag = "30")]
+    Grant(feed::Grant),
 }
 
 /// Asks the leader for configuration from a revision on, and for the routes.
