--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -44,13 +44,12 @@
     let live: Vec<&Known> = view
         .service(need.service)
         .filter(|known| !known.upstream.draining)
-        .filter(|known| holds_model(known, need.model))
         .filter(|known| !need.tried.contains(&known.upstream.name))
         .collect();
     if live.is_empty() {
         return Choice::Nobody;
     }
-    let Some(adapter) = need.adapter else {
+    let Some(adapter) = need.adapter.or(need.model) else {
         let best = least_busy(live.into_iter().map(|known| (known, None)), need.zone, now);
         return best.map_or(Choice::Nobody, |(known, version)| {
             Choice::Send(known.upstream.clone(), version)
@@ -79,11 +78,6 @@
     }
 }
 
-fn holds_model(known: &Known, model: Option<&str>) -> bool {
-    let models = &known.upstream.models;
-    model.is_none_or(|model| models.iter().any(|held| held.name == model))
-}
-
 /// The least busy candidate; those that fail come last.
 fn least_busy<'a>(
     candidates: impl Iterator<Item = (&'a Known, Option<u64>)>,
--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -104,6 +104,8 @@
     pub weights_mb: f64,
     /// Models of the service.
     pub models: Vec<Model>,
+    /// Loads of base models a second that the weight store allows to all replicas; zero if unknown.
+    pub loads_per_second: f64,
 }
 
 impl Engine {
--- a/crates/tanagershift/src/gateway/follow.rs
+++ b/crates/tanagershift/src/gateway/follow.rs
@@ -67,7 +67,11 @@
                 version,
                 address: self.address.clone(),
             });
-            let opened = self.gateway.leader.open(watch, WATCH_TIMEOUT, ATTEMPT).await;
+            let opened = self
+                .gateway
+                .leader
+                .open(watch, WATCH_TIMEOUT, ATTEMPT)
+                .await;
             if let Some((call, Body::Notice(first))) = opened {
                 log::info!("event=leader.found term={}", first.term);
                 self.take(first);
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -339,17 +339,16 @@
 }
 
 /// Finds an upstream, waiting for the adapter where no replica has it.
-async fn find(
-    gateway: &Arc<Gateway>,
-    job: &Job,
-    trace: &mut Trace,
-) -> Result<Found, Rejection> {
+async fn find(gateway: &Arc<Gateway>, job: &Job, trace: &mut Trace) -> Result<Found, Rejection> {
     let began = Instant::now();
     if job.call.model.is_some() {
         match ask(gateway, job, &trace.tried).await {
             Answer::Granted(upstream, version, grant) => {
                 trace.stalled += began.elapsed();
-                gateway.metrics.stalls.observe(began.elapsed().as_secs_f64());
+                gateway
+                    .metrics
+                    .stalls
+                    .observe(began.elapsed().as_secs_f64());
                 return Ok(Found {
                     upstream,
                     version,
--- a/crates/tanagershift/src/gateway/hub.rs
+++ b/crates/tanagershift/src/gateway/hub.rs
@@ -2,7 +2,7 @@
 //! changed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -17,7 +17,10 @@
 use super::{
     Gateway, cloud,
     dialect::{Order, Ordered, Report},
-    feed::{Announcement, Ask, Counts, Demand, Document, Grant, List, Notice, Place, Tally, Upstream, Watch},
+    feed::{
+        Announcement, Ask, Counts, Demand, Document, Grant, List, Notice, Place, Tally, Upstream,
+        Watch,
+    },
     orders,
     placement::{self, Action, Adapter, Placement},
     schedule::{self, Candidate, Decision, Job, Number, Part, Schedule},
@@ -208,7 +211,10 @@
         if !leading.asked.is_empty() {
             wake = wake.min(leading.next_sweep);
         }
-        leading.schedule.next_due(Instant::now()).map_or(wake, |due| wake.min(due))
+        leading
+            .schedule
+            .next_due(Instant::now())
+            .map_or(wake, |due| wake.min(due))
     }
 
     /// Takes a change of what the group has decided, or of who leads it.
@@ -229,7 +235,7 @@
             leading.version = document.version;
             match self.gateway.dialect.configuration(&document.text) {
                 Ok(configuration) => {
-                    leading.placement.configure(&configuration);
+                    leading.placement.configure(&configuration, Instant::now());
                     let services = configuration.services.values();
                     let memory = services.filter_map(|service| {
                         Some((service.name.clone(), service.engine.as_ref()?.memory))
@@ -453,14 +459,12 @@
         let number = self.next_number;
         self.next_number += 1;
         let adapter = (!ask.adapter.is_empty()).then_some(ask.adapter);
-        if let Some(adapter) = &adapter {
-            let demand = Demand {
-                adapter: adapter.clone(),
-                came: 1,
-                waiting: 0,
-            };
-            self.placement.demand(&[demand], now);
-        }
+        let demand = Demand {
+            adapter: adapter.clone().unwrap_or_else(|| ask.model.clone()),
+            came: 1,
+            waiting: 0,
+        };
+        self.placement.demand(&[demand], now);
         let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
         let objective = match ask.objective_ms >= 0 {
             true => now + objective,
@@ -503,7 +507,10 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
-        let ended = self.asked.iter().filter(|(_, asked)| asked.responder.is_cancelled());
+        let ended = self
+            .asked
+            .iter()
+            .filter(|(_, asked)| asked.responder.is_cancelled());
         let ended: Vec<Number> = ended.map(|(number, _)| *number).collect();
         for number in ended {
             self.end(number);
@@ -531,37 +538,26 @@
             version,
         };
         let mut missing = Vec::new();
-        // Jobs of one pass that need the same share the search.
-        let mut known: HashMap<(String, Option<String>), Rc<[Candidate]>> = HashMap::new();
-        let decisions = self.schedule.decide(now, |job| {
-            let key = (job.model.clone(), job.adapter.clone());
-            let found = known.entry(key).or_insert_with(|| {
-                let mine = |one: &&placement::Replica| one.upstream.service == job.service;
-                match &job.adapter {
-                    None => {
-                        let holders = placement.holders(&job.model).filter(mine);
-                        holders.map(|one| candidate(one, None)).collect()
-                    }
-                    Some(adapter) => {
-                        let usable = placement.usable(adapter, now).into_iter();
-                        let usable = usable.filter(|(one, _)| mine(&one));
-                        usable
-                            .map(|(one, version)| candidate(one, Some(version)))
-                            .collect()
-                    }
-                }
-            });
-            if let Some(adapter) = &job.adapter {
-                let untried = found.iter().any(|one| !job.tried.contains(&one.name));
-                if !untried || now > job.came + PRESS_AFTER {
-                    missing.push((adapter.clone(), found.is_empty()));
-                }
+        let decisions = self.schedule.decide(now, |group, oldest, jobs| {
+            let mine = |one: &&placement::Replica| one.upstream.service == group.service;
+            let Some(adapter) = &group.adapter else {
+                let holders = placement.holders(&group.model).filter(mine);
+                return holders.map(|one| candidate(one, None)).collect();
+            };
+            let usable = placement.usable(adapter, now).into_iter();
+            let usable = usable.filter(|(one, _)| mine(&one));
+            let found: Rc<[Candidate]> = usable
+                .map(|(one, version)| candidate(one, Some(version)))
+                .collect();
+            let untried = found.iter().any(|one| !oldest.tried.contains(&one.name));
+            if !untried || now > oldest.came + PRESS_AFTER {
+                missing.push((adapter.clone(), found.is_empty(), jobs));
             }
-            found.clone()
+            found
         });
-        for (adapter, absent) in missing {
+        for (adapter, absent, jobs) in missing {
             match absent {
-                true => self.placement.want(&adapter, now),
+                true => self.placement.want(&adapter, jobs as u32, now),
                 false => self.placement.press(&adapter, now),
             }
         }
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -10,13 +10,14 @@
 mod tests;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use tokio::time::Instant;
 
-pub use replica::{Adapter, Pending, Replica, Slot, State};
+pub use replica::{Adapter, Pending, Replica, Slot, State, is_model, model_of};
 
 use super::{
     configuration::Configuration,
@@ -30,8 +31,8 @@
 pub struct Config {
     /// Adapters on their way to one replica at once; the engines' published limit.
     pub replica_transit: usize,
-    /// Adapters on their way from the store to all replicas at once. Where the store is full speed
-    /// with fewer, each load takes longer and as many end in a second.
+    /// Adapters on their way from the store to all replicas at once, at the start; it grows while
+    /// loads stay as fast as they are alone.
     pub store_transit: usize,
     /// Places of each replica that are kept free.
     pub spare: usize,
@@ -53,7 +54,7 @@
     fn default() -> Self {
         Self {
             replica_transit: 4,
-            store_transit: 16,
+            store_transit: 8,
             spare: 2,
             home_share: 0.1,
             retire_delay: Duration::from_millis(250),
@@ -70,11 +71,17 @@
 /// Time after which a request counts half when a place to give up is chosen.
 const KEEP_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Time after which a want that no gateway repeats is dropped.
-const WANT_LIFE: Duration = Duration::from_millis(1500);
+const WANT_LIFE: Duration = Duration::from_millis(300);
 /// Version of an adapter for which none was announced.
 pub const FIRST_VERSION: u64 = 1;
 /// Shortest time for which a loaded adapter is kept.
 const MIN_STAY: Duration = Duration::from_millis(1500);
+/// Load time against the shortest one seen up to which the store counts as not crowded.
+const FULL_SPEED: f64 = 1.2;
+/// Loads of base models a second where the configuration names no rate.
+const MODEL_LOADS_DEFAULT: f64 = 1.0;
+/// Time after which a load of a base model is asked for the first time.
+const MODEL_CHECK: Duration = Duration::from_millis(500);
 /// Time between two decisions on loads when no request waits.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Weight of the newest load time in the mean.
@@ -137,6 +144,7 @@
 struct Want {
     since: Instant,
     heard: Instant,
+    jobs: u32,
 }
 
 /// The placement of all adapters on all replicas.
@@ -144,16 +152,23 @@
 pub struct Placement {
     config: Config,
     replicas: BTreeMap<id::Upstream, Replica>,
+    listed: Vec<Upstream>,
     capacities: BTreeMap<String, super::configuration::Engine>,
     wants: BTreeMap<Adapter, Want>,
     announced: BTreeMap<Adapter, (u64, Instant)>,
     hot: Heat<Adapter>,
     keep: Heat<Adapter>,
     total: Heat<()>,
+    models: Heat<String>,
     changes: Vec<Place>,
     next_order: u64,
     /// Shortest time of a load from the store that was seen lately.
     load_time: Duration,
+    best_load_time: Duration,
+    /// Adapters on their way from the store to all replicas at once.
+    transit_limit: f64,
+    /// When a base model may be loaded from the store next.
+    next_model_load: Option<Instant>,
     /// When loads are decided next.
     plan_at: Option<Instant>,
 }
@@ -163,14 +178,19 @@
     pub fn new(config: Config) -> Self {
         Self {
             load_time: config.load_time,
+            best_load_time: config.load_time,
+            transit_limit: config.store_transit as f64,
             config,
             replicas: BTreeMap::new(),
+            listed: Vec::new(),
+            next_model_load: None,
             capacities: BTreeMap::new(),
             wants: BTreeMap::new(),
             announced: BTreeMap::new(),
             hot: Heat::new(HOT_HALF_LIFE),
             keep: Heat::new(KEEP_HALF_LIFE),
             total: Heat::new(HOT_HALF_LIFE),
+            models: Heat::new(KEEP_HALF_LIFE),
             plan_at: None,
             changes: Vec::new(),
             next_order: 1,
@@ -178,20 +198,20 @@
     }
 
     /// Takes the sizes of the engines from the configuration.
-    pub fn configure(&mut self, configuration: &Configuration) {
+    pub fn configure(&mut self, configuration: &Configuration, now: Instant) {
         let engines = configuration.services.values();
         self.capacities = engines
             .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)))
             .collect();
-        self.size_replicas();
+        let listed = std::mem::take(&mut self.listed);
+        self.list(&listed, now);
     }
 
     fn size_replicas(&mut self) {
         for replica in self.replicas.values_mut() {
             let engine = self.capacities.get(&replica.upstream.service);
             replica.capacity = engine.map_or(0, |engine| {
-                let models = &replica.upstream.models;
-                engine.capacity(|model| models.iter().any(|held| held.name == model))
+                engine.capacity(|model| replica.slots.contains_key(model))
             });
         }
     }
@@ -202,8 +222,7 @@
         self.replicas
             .retain(|name, _| listed.contains(name.as_str()));
         for upstream in upstreams {
-            // A plain service holds no models.
-            if upstream.models.is_empty() {
+            if !self.capacities.contains_key(&upstream.service) {
                 continue;
             }
             if let Some(known) = self.replicas.get_mut(&upstream.name) {
@@ -217,6 +236,7 @@
             }
             self.replicas.insert(upstream.name.clone(), replica);
         }
+        self.listed = upstreams.to_vec();
         self.size_replicas();
     }
 
@@ -224,25 +244,35 @@
     pub fn demand(&mut self, demand: &[Demand], now: Instant) {
         for one in demand {
             if one.came > 0 {
+                self.models
+                    .add(&model_of(&one.adapter).to_owned(), one.came, now);
+                if is_model(&one.adapter) {
+                    continue;
+                }
                 self.hot.add(&one.adapter, one.came, now);
                 self.keep.add(&one.adapter, one.came, now);
                 self.total.add(&(), one.came, now);
             }
             if one.waiting > 0 {
-                self.want(&one.adapter, now);
+                self.want(&one.adapter, one.waiting, now);
             }
         }
     }
 
     /// Takes note that requests wait for an adapter that no replica has.
-    pub fn want(&mut self, adapter: &str, now: Instant) {
+    pub fn want(&mut self, adapter: &str, jobs: u32, now: Instant) {
+        if is_model(adapter) {
+            return;
+        }
         if let Some(want) = self.wants.get_mut(adapter) {
             want.heard = now;
+            want.jobs = jobs;
             return;
         }
         let want = Want {
             since: now,
             heard: now,
+            jobs,
         };
         self.wants.insert(adapter.to_owned(), want);
         self.plan_at = None;
@@ -335,7 +365,7 @@
             let slot = replica.slots.get(adapter);
             slot.is_some_and(|slot| matches!(slot.state, State::Planned | State::Loading { .. }))
         };
-        let busy = self.store_transit() * 2 > self.config.store_transit;
+        let busy = self.store_transit() * 2 > self.transit_limit as usize;
         if !busy && !self.replicas.values().any(coming) {
             let mut expected = self.expected_work(now);
             self.plan(adapter, &mut expected, now);
@@ -352,7 +382,7 @@
             summary.replicas += 1;
             summary.usable += usize::from(replica.is_usable());
             summary.free += replica.free();
-            for (adapter, slot) in &replica.slots {
+            for (adapter, slot) in replica.adapters() {
                 match slot.state {
                     State::Planned => summary.planned += 1,
                     State::Loading { .. } => summary.loading += 1,
@@ -397,6 +427,7 @@
         if self.plan_at.is_none_or(|at| now >= at) {
             self.plan_at = Some(now + PLAN_INTERVAL);
             self.wants.retain(|_, want| now < want.heard + WANT_LIFE);
+            self.plan_models(now);
             let mut homes = self.homes();
             self.plan_wanted(&mut homes, now);
             self.plan_hot(&homes, now);
@@ -413,9 +444,9 @@
     }
 
     fn store_transit(&self) -> usize {
-        let from_store = |slot: &&Slot| matches!(slot.state, State::Loading { .. }) && !slot.recent;
-        let slots = self.replicas.values().flat_map(|one| one.slots.values());
-        slots.filter(from_store).count()
+        let from_store = |slot: &Slot| matches!(slot.state, State::Loading { .. }) && !slot.recent;
+        let slots = self.replicas.values().flat_map(Replica::adapters);
+        slots.filter(|(_, slot)| from_store(slot)).count()
     }
 
     fn newest(&self, adapter: &str) -> u64 {
@@ -440,17 +471,84 @@
         homes
     }
 
-    /// Decides loads of adapters that requests wait for, longest wait first.
+    /// Decides which base model a replica without any gets: the one with most requests for each
+    /// replica that has it.
+    fn plan_models(&mut self, now: Instant) {
+        let empty = |replica: &&Replica| replica.is_usable() && replica.models().next().is_none();
+        let empty = self.replicas.values().filter(empty);
+        let names: Vec<id::Upstream> = empty.map(|one| one.upstream.name.clone()).collect();
+        for name in names {
+            let Some(replica) = self.replicas.get(&name) else {
+                continue;
+            };
+            let Some(engine) = self.capacities.get(&replica.upstream.service) else {
+                continue;
+            };
+            let need = |model: &str| {
+                let holders = self.replicas.values();
+                let holders = holders.filter(|one| one.slots.contains_key(model)).count();
+                (self.models.value(&model.to_owned(), now) + 1.0) / (holders + 1) as f64
+            };
+            let fits = engine
+                .models
+                .iter()
+                .filter(|one| one.weights_mb <= engine.weights_mb);
+            let best = fits.max_by(|left, right| need(&left.name).total_cmp(&need(&right.name)));
+            let Some(model) = best.map(|model| model.name.clone()) else {
+                continue;
+            };
+            if let Some(replica) = self.replicas.get_mut(&name) {
+                let slot = Slot::new(FIRST_VERSION, State::Planned, now);
+                replica.slots.insert(model, slot);
+            }
+        }
+        self.size_replicas();
+    }
+
+    /// Whether the weight store's rate allows one more base model now; takes the allowance.
+    fn take_model_load(&mut self, service: &str, now: Instant) -> bool {
+        if self.next_model_load.is_some_and(|next| now < next) {
+            return false;
+        }
+        let engine = self.capacities.get(service);
+        let rate = engine.map_or(0.0, |engine| engine.loads_per_second);
+        let rate = if rate > 0.0 {
+            rate
+        } else {
+            MODEL_LOADS_DEFAULT
+        };
+        self.next_model_load = Some(now + Duration::from_secs_f64(1.0 / rate));
+        true
+    }
+
+    /// Loads that may be decided now: what the store takes, and a few that follow at once.
+    ///
+    /// More would only keep places from adapters that are loaded, for requests that have given up
+    /// by the time their load begins.
+    fn allowance(&self) -> usize {
+        let planned = |slot: &Slot| slot.state == State::Planned && !slot.recent;
+        let slots = self.replicas.values().flat_map(Replica::adapters);
+        let planned = slots.filter(|(_, slot)| planned(slot)).count();
+        let limit = self.transit_limit as usize;
+        (limit + limit / 4).saturating_sub(self.store_transit() + planned)
+    }
+
+    /// Decides loads of adapters that requests wait for: those with most requests first, then those
+    /// that wait longest.
     fn plan_wanted(&mut self, homes: &mut BTreeMap<Adapter, usize>, now: Instant) {
-        let mut wanted: Vec<(Instant, Adapter)> = self
+        let mut wanted: Vec<(Reverse<u32>, Instant, Adapter)> = self
             .wants
             .iter()
             .filter(|(adapter, _)| !homes.contains_key(*adapter))
-            .map(|(adapter, want)| (want.since, adapter.clone()))
+            .map(|(adapter, want)| (Reverse(want.jobs), want.since, adapter.clone()))
             .collect();
+        if wanted.is_empty() {
+            return;
+        }
         wanted.sort();
         let mut expected = self.expected_work(now);
-        for (_, adapter) in wanted {
+        let allowance = self.allowance();
+        for (_, _, adapter) in wanted.into_iter().take(allowance) {
             if self.plan(&adapter, &mut expected, now) {
                 *homes.entry(adapter).or_default() += 1;
             }
@@ -458,14 +556,21 @@
         self.wants.retain(|adapter, _| !homes.contains_key(adapter));
     }
 
-    /// Gives adapters with many requests more replicas.
+    /// Gives adapters with many requests more replicas, once nothing else waits for the store.
     fn plan_hot(&mut self, homes: &BTreeMap<Adapter, usize>, now: Instant) {
+        let allowance = self.allowance();
+        if allowance == 0 || !self.wants.is_empty() {
+            return;
+        }
         let run_time = self.run_time(now);
         let slots = self.replicas.values().map(|one| one.upstream.slots).max();
         let share = (f64::from(slots.unwrap_or(0)) * self.config.home_share).max(1.0);
         let mut growing = Vec::new();
         for (adapter, rate) in self.hot.rates(now) {
             let wanted = (rate * run_time / share).ceil() as usize;
+            if wanted == 0 {
+                continue;
+            }
             let have = homes.get(adapter).copied().unwrap_or(0);
             if wanted > have && (have > 0 || self.is_outdated(adapter)) {
                 growing.push((adapter.clone(), wanted - have, rate));
@@ -475,11 +580,11 @@
             return;
         }
         growing.sort_by(|left, right| right.2.total_cmp(&left.2));
+        let each = |(adapter, count, _): (Adapter, usize, f64)| std::iter::repeat_n(adapter, count);
+        let growing: Vec<Adapter> = growing.into_iter().flat_map(each).take(allowance).collect();
         let mut expected = self.expected_work(now);
-        for (adapter, count, _) in growing {
-            for _ in 0..count {
-                self.plan(&adapter, &mut expected, now);
-            }
+        for adapter in growing {
+            self.plan(&adapter, &mut expected, now);
         }
     }
 
@@ -511,7 +616,7 @@
         expected: &mut BTreeMap<id::Upstream, f64>,
         now: Instant,
     ) -> bool {
-        let model = adapter.split('/').next().unwrap_or(adapter);
+        let model = model_of(adapter);
         let rank = |replica: &Replica| {
             let load = expected.get(&replica.upstream.name).copied();
             let slots = f64::from(replica.upstream.slots.max(1));
@@ -614,7 +719,7 @@
             let settled = |(_, slot): &(&Adapter, &Slot)| {
                 slot.state == State::Ready && now > slot.since + MIN_STAY
             };
-            let mut ready: Vec<_> = replica.slots.iter().filter(settled).collect();
+            let mut ready: Vec<_> = replica.adapters().filter(settled).collect();
             ready.sort_by(|(left, _), (right, _)| {
                 let used = replica.is_used(left).cmp(&replica.is_used(right));
                 used.then(worth(left).total_cmp(&worth(right)))
@@ -652,12 +757,20 @@
                 replica: name.to_owned(),
             });
         };
-        let (operation, adapter) = next_order(replica, config, *transit, now)?;
+        let (operation, adapter) =
+            next_order(replica, config, *transit < self.transit_limit as usize, now)?;
         let slot = replica.slots.get(&adapter)?;
         let planned = slot.state == State::Planned;
-        if planned && !slot.recent {
+        if planned && is_model(&adapter) {
+            let service = replica.upstream.service.clone();
+            if !self.take_model_load(&service, now) {
+                return None;
+            }
+        } else if planned && !slot.recent {
             *transit += 1;
         }
+        let replica = self.replicas.get_mut(name)?;
+        let slot = replica.slots.get(&adapter)?;
         let named = operation == Operation::Load && slot.version > FIRST_VERSION;
         let version = named.then_some(slot.version);
         let number = self.next_order;
@@ -721,15 +834,17 @@
                 replica.set(&pending.adapter, State::Ready, now);
                 self.changes
                     .push(place(name, &pending.adapter, slot.version));
-                if loading && !slot.recent {
+                if is_model(&pending.adapter) {
+                    self.size_replicas();
+                } else if loading && !slot.recent {
                     self.note_load_time(now.duration_since(slot.since));
                 }
             }
             (Operation::Load, _) if first => {
-                let wait = if slot.recent {
-                    self.load_time / 10
-                } else {
-                    self.load_time
+                let wait = match (is_model(&pending.adapter), slot.recent) {
+                    (true, _) => MODEL_CHECK,
+                    (false, true) => self.load_time / 10,
+                    (false, false) => self.load_time,
                 };
                 let check = now + wait;
                 replica.set(&pending.adapter, State::Loading { check }, now);
@@ -751,7 +866,8 @@
         }
     }
 
-    /// Learns when a load can be asked for at the earliest: a mean that falls fast and rises slowly.
+    /// Learns when a load can be asked for at the earliest, a mean that falls fast and rises slowly,
+    /// and how many loads at once the store carries out at full speed.
     fn note_load_time(&mut self, time: Duration) {
         let weight = if time < self.load_time {
             2
@@ -759,6 +875,19 @@
             MEAN_WEIGHT
         };
         self.load_time = (self.load_time * (weight - 1) + time) / weight;
+        self.best_load_time = self.best_load_time.min(time);
+        let least = self.config.store_transit as f64;
+        let full_speed =
+            time < self.best_load_time.mul_f64(FULL_SPEED) + self.config.check_interval;
+        let step = if full_speed {
+            1.0 / self.transit_limit
+        } else {
+            -0.2
+        };
+        let busy = self.store_transit() + 2 >= self.transit_limit as usize;
+        if busy || !full_speed {
+            self.transit_limit = (self.transit_limit + step).max(least);
+        }
     }
 
     /// Takes a report, or that there was none.
@@ -808,7 +937,7 @@
 fn next_order(
     replica: &Replica,
     config: &Config,
-    transit: usize,
+    store_free: bool,
     now: Instant,
 ) -> Option<(Operation, Adapter)> {
     let due = |slot: &Slot| match slot.state {
@@ -821,11 +950,19 @@
         return Some((operation, adapter.clone()));
     }
     let planned = |slot: &Slot| slot.state == State::Planned;
-    let present = replica.slots.values().filter(|slot| !planned(slot)).count();
+    let model = replica
+        .models()
+        .find(|model| planned(&replica.slots[*model]));
+    if let Some(model) = model {
+        return Some((Operation::Load, model.clone()));
+    }
+    let present = replica
+        .adapters()
+        .filter(|(_, slot)| !planned(slot))
+        .count();
     if present < replica.capacity && replica.in_transit() < config.replica_transit {
-        let may_load =
-            |slot: &Slot| planned(slot) && (slot.recent || transit < config.store_transit);
-        let loads = replica.slots.iter().filter(|(_, slot)| may_load(slot));
+        let may_load = |slot: &Slot| planned(slot) && (slot.recent || store_free);
+        let loads = replica.adapters().filter(|(_, slot)| may_load(slot));
         if let Some((adapter, _)) = loads.min_by_key(|(_, slot)| slot.since) {
             return Some((Operation::Load, adapter.clone()));
         }
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -12,9 +12,22 @@
     feed::Upstream,
 };
 
-/// Adapter as MODEL/NAME.
+/// Adapter as MODEL/NAME, or a base model as MODEL.
 pub type Adapter = String;
 
+/// Version under which a base model is listed.
+const MODEL_VERSION: u64 = 1;
+
+/// Whether a name is that of a base model.
+pub fn is_model(name: &str) -> bool {
+    !name.contains('/')
+}
+
+/// Base model of an adapter.
+pub fn model_of(adapter: &str) -> &str {
+    adapter.split('/').next().unwrap_or(adapter)
+}
+
 /// Adapters that a replica is taken to load fast because it held them recently.
 const RECENT: usize = 64;
 
@@ -100,10 +113,11 @@
             since: now,
             recent: false,
         };
+        let models = upstream.models.iter();
+        let models = models.map(|model| (model.name.clone(), slot(MODEL_VERSION)));
         let adapters = upstream.models.iter().flat_map(|model| &model.adapters);
-        let slots = adapters
-            .map(|one| (one.adapter.clone(), slot(one.version)))
-            .collect();
+        let adapters = adapters.map(|one| (one.adapter.clone(), slot(one.version)));
+        let slots = models.chain(adapters).collect();
         Self {
             upstream,
             capacity: 0,
@@ -120,8 +134,18 @@
 
     /// Whether it can be given an adapter of a base model.
     pub fn holds(&self, model: &str) -> bool {
-        let mut models = self.upstream.models.iter();
-        models.any(|held| held.name == model)
+        let slot = self.slots.get(model);
+        slot.is_some_and(|slot| slot.state == State::Ready)
+    }
+
+    /// Base models that it holds or loads.
+    pub fn models(&self) -> impl Iterator<Item = &Adapter> {
+        self.slots.keys().filter(|name| is_model(name))
+    }
+
+    /// Adapters in any state.
+    pub fn adapters(&self) -> impl Iterator<Item = (&Adapter, &Slot)> {
+        self.slots.iter().filter(|(name, _)| !is_model(name))
     }
 
     /// Whether orders make sense.
@@ -131,13 +155,14 @@
 
     /// Places that are free, counting decided loads as taken.
     pub fn free(&self) -> usize {
-        self.capacity.saturating_sub(self.slots.len())
+        self.capacity.saturating_sub(self.adapters().count())
     }
 
     /// Adapters on their way.
     pub fn in_transit(&self) -> usize {
         let loading = |slot: &&Slot| matches!(slot.state, State::Loading { .. });
-        self.slots.values().filter(loading).count()
+        let slots = self.adapters().map(|(_, slot)| slot);
+        slots.filter(loading).count()
     }
 
     /// Whether it held an adapter recently, so that a load is fast.
@@ -190,6 +215,10 @@
         self.reporting = false;
         self.accepted = Some(report.accepted);
         let mut slots = BTreeMap::new();
+        for model in &report.models {
+            let slot = Slot::new(MODEL_VERSION, State::Ready, now);
+            slots.insert(model.clone(), slot);
+        }
         for one in &report.adapters {
             let known = self.slots.get(&one.adapter);
             let retiring = known.is_some_and(|slot| matches!(slot.state, State::Retiring { .. }));
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -250,7 +250,12 @@
             "complete" => Verdict::Ran,
             _ => Verdict::MayHaveRun,
         };
-        self.gateway
-            .log_end(&self.job, self.outcome, verdict, &self.trace, &self.progress);
+        self.gateway.log_end(
+            &self.job,
+            self.outcome,
+            verdict,
+            &self.trace,
+            &self.progress,
+        );
     }
 }
--- a/crates/tanagershift/src/gateway/schedule.rs
+++ b/crates/tanagershift/src/gateway/schedule.rs
@@ -6,7 +6,7 @@
 //! the replica's reading speed, and requests wait here, in order of urgency, rather than there.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -92,6 +92,27 @@
     pub tried: Vec<id::Upstream>,
 }
 
+/// What jobs need; those of one group can go to the same replicas.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Group {
+    /// Service.
+    pub service: String,
+    /// Base model.
+    pub model: String,
+    /// Adapter as MODEL/NAME.
+    pub adapter: Option<String>,
+}
+
+impl Job {
+    fn group(&self) -> Group {
+        Group {
+            service: self.service.clone(),
+            model: self.model.clone(),
+            adapter: self.adapter.clone(),
+        }
+    }
+}
+
 /// A replica that may be given a job now.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -165,7 +186,12 @@
             let read = self.parts.get(&part.digest);
             read.is_some_and(|read| now < *read + life)
         };
-        let kept: u32 = job.parts.iter().take_while(kept).map(|part| part.tokens).sum();
+        let kept: u32 = job
+            .parts
+            .iter()
+            .take_while(kept)
+            .map(|part| part.tokens)
+            .sum();
         job.prompt.saturating_sub(kept)
     }
 
@@ -184,6 +210,8 @@
 pub struct Schedule {
     config: Config,
     waiting: BTreeMap<Number, Job>,
+    /// Waiting jobs by what they need, oldest first.
+    groups: BTreeMap<Group, BTreeSet<Number>>,
     loads: BTreeMap<id::Upstream, Load>,
     running: BTreeMap<Number, Running>,
 }
@@ -203,6 +231,7 @@
         Self {
             config,
             waiting: BTreeMap::new(),
+            groups: BTreeMap::new(),
             loads: BTreeMap::new(),
             running: BTreeMap::new(),
         }
@@ -210,12 +239,27 @@
 
     /// Adds a job.
     pub fn add(&mut self, job: Job) {
+        let jobs = self.groups.entry(job.group()).or_default();
+        jobs.insert(job.number);
         self.waiting.insert(job.number, job);
     }
 
+    /// Takes a job out of those that wait.
+    fn remove(&mut self, number: Number) -> Option<Job> {
+        let job = self.waiting.remove(&number)?;
+        let group = job.group();
+        if let Some(jobs) = self.groups.get_mut(&group) {
+            jobs.remove(&number);
+            if jobs.is_empty() {
+                self.groups.remove(&group);
+            }
+        }
+        Some(job)
+    }
+
     /// Forgets a job that has ended or whose caller has left; returns where it ran.
     pub fn end(&mut self, number: Number) -> Option<Running> {
-        self.waiting.remove(&number);
+        self.remove(number);
         let running = self.running.remove(&number)?;
         if let Some(load) = self.loads.get_mut(&running.replica) {
             load.jobs.remove(&number);
@@ -241,24 +285,41 @@
 
     /// Decides what can be decided now, the most urgent jobs first.
     ///
-    /// `candidates` names the replicas that have what a job needs.
+    /// `candidates` names the replicas that have what the jobs of a group need.
     pub fn decide(
         &mut self,
         now: Instant,
-        mut candidates: impl FnMut(&Job) -> Rc<[Candidate]>,
+        mut candidates: impl FnMut(&Group, &Job, usize) -> Rc<[Candidate]>,
     ) -> Vec<Decision> {
-        let mut order: Vec<(bool, u8, Instant, Number)> = self
-            .waiting
-            .values()
-            .map(|job| (now > job.objective, job.priority, job.objective, job.number))
-            .collect();
-        order.sort();
         let mut decisions = Vec::new();
-        for (_, _, _, number) in order {
+        let mut order = Vec::new();
+        let mut given_up = Vec::new();
+        for (group, numbers) in &self.groups {
+            let oldest = numbers.first().and_then(|number| self.waiting.get(number));
+            let Some(oldest) = oldest else {
+                continue;
+            };
+            let found = candidates(group, oldest, numbers.len());
+            let jobs = numbers.iter().filter_map(|number| self.waiting.get(number));
+            for job in jobs {
+                if !found.is_empty() {
+                    let late = now > job.objective;
+                    let rank = (late, job.priority, job.objective, job.number);
+                    order.push((rank, found.clone()));
+                } else if now >= job.give_up {
+                    given_up.push(job.number);
+                }
+            }
+        }
+        for number in given_up {
+            self.remove(number);
+            decisions.push(Decision::Refuse { number, holders: 0 });
+        }
+        order.sort_by_key(|(rank, _)| *rank);
+        for ((_, _, _, number), found) in order {
             let Some(job) = self.waiting.get(&number) else {
                 continue;
             };
-            let found = candidates(job);
             if let Some((replica, version)) = self.choose(job, &found, now) {
                 let adapter = job.adapter.clone();
                 self.give(number, &replica, now);
@@ -269,9 +330,9 @@
                     version,
                 });
             } else if now >= job.give_up {
+                self.remove(number);
                 let holders = found.len();
                 decisions.push(Decision::Refuse { number, holders });
-                self.waiting.remove(&number);
             }
         }
         decisions
@@ -320,13 +381,17 @@
         if backlog > 0.0 && backlog + unread > self.config.burst {
             return None;
         }
-        let zone = if candidate.zone == job.zone { 0.0 } else { ZONE_COST };
+        let zone = if candidate.zone == job.zone {
+            0.0
+        } else {
+            ZONE_COST
+        };
         let fill = f64::from(open) / slots * FILL_COST;
         Some((backlog + unread) / self.config.rate + zone + fill)
     }
 
     fn give(&mut self, number: Number, replica: &str, now: Instant) {
-        let Some(job) = self.waiting.remove(&number) else {
+        let Some(job) = self.remove(number) else {
             return;
         };
         let (rate, life) = (self.config.rate, self.config.prefix_life);
