--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -527,7 +527,8 @@
     /// by the time their load begins.
     fn allowance(&self) -> usize {
         let planned = |slot: &Slot| slot.state == State::Planned && !slot.recent;
-        let slots = self.replicas.values().flat_map(Replica::adapters);
+        let usable = self.replicas.values().filter(|one| one.is_usable());
+        let slots = usable.flat_map(Replica::adapters);
         let planned = slots.filter(|(_, slot)| planned(slot)).count();
         let limit = self.transit_limit as usize;
         (limit + limit / 4).saturating_sub(self.store_transit() + planned)
@@ -804,8 +805,11 @@
             // The order may still be carried out, so its place stays taken and it is repeated.
             Ordered::Unknown | Ordered::Fenced => {}
             Ordered::Gone => {
-                replica.accepted = None;
-                replica.report_at = now + self.config.report_lag;
+                // What was decided for it is decided again, elsewhere.
+                replica
+                    .slots
+                    .retain(|_, slot| slot.state != State::Planned);
+                ask_again(replica, self.config.report_lag, now);
             }
             Ordered::Invalid => {
                 replica.remove(&pending.adapter);
@@ -834,6 +838,9 @@
                 replica.set(&pending.adapter, State::Ready, now);
                 self.changes
                     .push(place(name, &pending.adapter, slot.version));
+                if !self.wants.is_empty() {
+                    self.plan_at = None;
+                }
                 if is_model(&pending.adapter) {
                     self.size_replicas();
                 } else if loading && !slot.recent {
