--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -1,1 +1,465 @@
+//! Decisions of the gateway in their smallest cases.
 
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{
+    budget::{self, Budget},
+    choose::{Choice, Need, choose},
+    configuration::{Configuration, Invalid, Kind, Limits, Route, Service, Target},
+    event_stream::Splitter,
+    feed::{Announcement, Counts, List, Notice, Place, Upstream},
+    schedule::{self, Candidate, Decision, Job, Part, Schedule},
+    view::View,
+};
+use crate::testing::cases;
+
+mod scheduling {
+    //! Patterns of load that the schedule answers.
+
+    use super::*;
+
+    fn job(number: u64, now: Instant) -> Job {
+        Job {
+            number,
+            service: "llm".to_owned(),
+            model: "base".to_owned(),
+            adapter: Some("base/a".to_owned()),
+            zone: "a".to_owned(),
+            prompt: 1400,
+            output: 200,
+            parts: Vec::new(),
+            priority: 1,
+            came: now,
+            objective: now + Duration::from_millis(750),
+            give_up: now + Duration::from_millis(2800),
+            tried: Vec::new(),
+        }
+    }
+
+    fn candidate(name: &str, zone: &str) -> Candidate {
+        Candidate {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            slots: 64,
+            memory: 120_000,
+            others: 0,
+            version: Some(1),
+        }
+    }
+
+    fn decide(schedule: &mut Schedule, found: &[Candidate], now: Instant) -> Vec<(u64, String)> {
+        let found: Rc<[Candidate]> = found.into();
+        let decisions = schedule.decide(now, |_, _, _| found.clone());
+        decisions
+            .into_iter()
+            .filter_map(|decision| match decision {
+                Decision::Send {
+                    number, replica, ..
+                } => Some((number, replica)),
+                Decision::Refuse { .. } => None,
+            })
+            .collect()
+    }
+
+    /// Pattern: a burst of one class. Pauses in running streams stay short only if the prompts that
+    /// a replica reads in the time of three tokens fit the objective.
+    #[test]
+    fn a_burst_of_one_class_is_paced_on_each_replica() {
+        let mut now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        for number in 0..40 {
+            schedule.add(job(number, now));
+        }
+        let found = [candidate("r1", "a"), candidate("r2", "a")];
+        let mut sent: Vec<(Instant, String)> = Vec::new();
+        for _ in 0..60 {
+            for (_, replica) in decide(&mut schedule, &found, now) {
+                sent.push((now, replica));
+            }
+            now += Duration::from_millis(10);
+        }
+        assert!(sent.len() >= 12, "{}", sent.len());
+        for (at, replica) in &sent {
+            let window = |(other, name): &&(Instant, String)| {
+                name == replica && *other >= *at && *other < *at + Duration::from_millis(240)
+            };
+            let prompts = sent.iter().filter(window).count();
+            assert!(prompts * 1400 <= 4600, "{prompts} prompts within 240 ms");
+        }
+    }
+
+    /// Pattern: more requests than the replicas can begin; what is urgent and still on time goes
+    /// first, what is late goes last and is refused before its caller gives up.
+    #[test]
+    fn the_urgent_and_timely_go_first_and_the_late_are_refused() {
+        let now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        let mut late = job(1, now);
+        late.priority = 0;
+        late.objective = now - Duration::from_millis(1);
+        late.give_up = now + Duration::from_millis(5);
+        let mut ordinary = job(2, now);
+        ordinary.priority = 2;
+        let mut urgent = job(3, now);
+        urgent.priority = 0;
+        for job in [late, ordinary, urgent] {
+            schedule.add(job);
+        }
+        let found = [candidate("r1", "a")];
+        assert_eq!(decide(&mut schedule, &found, now), [(3, "r1".to_owned())]);
+        let found: Rc<[Candidate]> = found.as_slice().into();
+        let later = now + Duration::from_millis(10);
+        let decisions = schedule.decide(later, |_, _, _| found.clone());
+        assert_eq!(
+            decisions,
+            [Decision::Refuse {
+                number: 1,
+                holders: 1
+            }]
+        );
+    }
+
+    /// Pattern: nobody has the adapter, and its load takes longer than the caller waits.
+    #[test]
+    fn a_job_without_holders_is_refused_when_its_time_is_up() {
+        let now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        schedule.add(job(1, now));
+        assert!(schedule.decide(now, |_, _, _| Rc::new([])).is_empty());
+        let later = now + Duration::from_millis(2800);
+        let decisions = schedule.decide(later, |_, _, _| Rc::new([]));
+        assert_eq!(
+            decisions,
+            [Decision::Refuse {
+                number: 1,
+                holders: 0
+            }]
+        );
+        assert_eq!(schedule.waiting().count(), 0);
+    }
+
+    /// Pattern: one zone pressed. Its own replica is preferred until it is busier by more than the
+    /// way to the other zone costs.
+    #[test]
+    fn the_own_zone_is_preferred_while_it_is_as_free() {
+        let now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        schedule.add(job(1, now));
+        schedule.add(job(2, now));
+        let found = [candidate("far", "b"), candidate("near", "a")];
+        let sent = decide(&mut schedule, &found, now);
+        assert_eq!(sent, [(1, "near".to_owned()), (2, "far".to_owned())]);
+    }
+
+    /// Pattern: requests that share the start of their prompts.
+    #[test]
+    fn a_replica_that_has_read_the_prefix_comes_first() {
+        let now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        let parts = vec![Part {
+            digest: 7,
+            tokens: 1000,
+        }];
+        let with_parts = |number, now| Job {
+            parts: parts.clone(),
+            ..job(number, now)
+        };
+        schedule.add(with_parts(1, now));
+        let warm = [candidate("warm", "a")];
+        assert_eq!(decide(&mut schedule, &warm, now).len(), 1);
+        let later = now + Duration::from_secs(1);
+        schedule.add(with_parts(2, later));
+        let found = [candidate("cold", "a"), candidate("warm", "a")];
+        assert_eq!(decide(&mut schedule, &found, later), [(2, "warm".to_owned())]);
+    }
+
+    /// Pattern: callers who give up; what they held is free again.
+    #[test]
+    fn memory_is_given_out_only_once_and_comes_back() {
+        let mut now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        let mut small = candidate("r", "a");
+        small.memory = 4000;
+        for number in 1..=3 {
+            schedule.add(job(number, now));
+        }
+        let mut sent = Vec::new();
+        for _ in 0..50 {
+            sent.extend(decide(&mut schedule, &[small.clone()], now));
+            now += Duration::from_millis(10);
+        }
+        assert_eq!(sent.len(), 2, "3,200 of 3,600 tokens");
+        schedule.end(1);
+        assert_eq!(decide(&mut schedule, &[small], now).len(), 1);
+    }
+
+    #[test]
+    fn a_replica_that_was_tried_is_not_tried_again() {
+        let now = Instant::now();
+        let mut schedule = Schedule::new(schedule::Config::default());
+        let mut again = job(1, now);
+        again.tried = vec!["r1".to_owned()];
+        schedule.add(again);
+        let found = [candidate("r1", "a"), candidate("r2", "b")];
+        assert_eq!(decide(&mut schedule, &found, now), [(1, "r2".to_owned())]);
+    }
+}
+
+fn split(pieces: &[&str], expected: &[&str], last: Option<u64>, rest: &str) {
+    let mut splitter = Splitter::default();
+    let events: Vec<Bytes> = pieces
+        .iter()
+        .map(|piece| splitter.push(Bytes::copy_from_slice(piece.as_bytes())))
+        .collect();
+    assert_eq!(events, expected);
+    assert_eq!(splitter.last(), last);
+    assert_eq!(splitter.rest(), rest);
+}
+
+cases! { split {
+    whole_events_pass_as_they_are: (&["id: 1\ndata: a\n\n"], &["id: 1\ndata: a\n\n"], Some(1), "");
+    an_event_in_two_pieces_waits: (
+        &["id: 1\nda", "ta: a\n\nid: 2\n"], &["", "id: 1\ndata: a\n\n"], Some(1), "id: 2\n"
+    );
+    the_last_of_several_ids_counts: (
+        &["id: 1\n\nid: 2\n\n"], &["id: 1\n\nid: 2\n\n"], Some(2), ""
+    );
+    an_event_without_id_keeps_the_last: (
+        &["id: 3\n\n", "data: x\n\n"], &["id: 3\n\n", "data: x\n\n"], Some(3), ""
+    );
+    carriage_returns_end_events_too: (
+        &["id: 4\r\ndata: a\r\n\r\nid: 5"], &["id: 4\r\ndata: a\r\n\r\n"], Some(4), "id: 5"
+    );
+}}
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 0,
+        targets: vec![Target {
+            service: "desk".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        resumable: false,
+    }
+}
+
+fn configure(routes: Vec<Route>) -> Result<Configuration, Invalid> {
+    let service = Service {
+        name: "desk".to_owned(),
+        connections: 10,
+        engine: None,
+    };
+    Configuration::new(1, routes, vec![service], Limits::default())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_selects_the_route() {
+    let routes = vec![route("short", "/a/"), route("long", "/a/b/")];
+    let configuration = configure(routes).unwrap();
+    let find = |host: &str, path: &str| {
+        let route = configuration.route(host, path);
+        route.map(|route| route.name.clone())
+    };
+    assert_eq!(find("host.example", "/a/b/c"), Some("long".to_owned()));
+    assert_eq!(find("HOST.example:80", "/a/c"), Some("short".to_owned()));
+    assert_eq!(find("host.example", "/a"), None);
+    assert_eq!(find("other.example", "/a/b/c"), None);
+}
+
+fn refused(routes: Vec<Route>, expected: &str) {
+    let error = configure(routes).unwrap_err();
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
+cases! { refused {
+    two_routes_at_one_place: (
+        vec![route("one", "/a/"), route("two", "/a/")], "same host and prefix"
+    );
+    an_unknown_service: (
+        vec![Route { targets: vec![Target { service: "none".to_owned(), weight: 1 }],
+            ..route("one", "/a/") }],
+        "unknown service"
+    );
+    weights_that_add_up_to_zero: (
+        vec![Route { targets: vec![Target { service: "desk".to_owned(), weight: 0 }],
+            ..route("one", "/a/") }],
+        "add up to zero"
+    );
+    a_timeout_of_zero: (
+        vec![Route { timeout: Duration::ZERO, ..route("one", "/a/") }], "timeout"
+    );
+    a_prefix_without_slashes: (vec![route("one", "a")], "slash");
+}}
+
+/// No window of the platform's length sees more repeats than it allows, whatever the requests do.
+#[test]
+fn repeats_stay_within_the_budget_of_every_window() {
+    let config = budget::Config {
+        ratio: 0.2,
+        slack: 12.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = Budget::new(config.clone());
+    let start = Instant::now();
+    let mut spent: Vec<Duration> = Vec::new();
+    let mut requests: Vec<Duration> = Vec::new();
+    for step in 0..6000_u64 {
+        let at = Duration::from_millis(step * 10);
+        // Retry abuse: bursts of requests of which each wants to be repeated.
+        if step % 1500 < 300 {
+            budget.request("desk", start + at);
+            requests.push(at);
+        }
+        if budget.spend("desk", 3, start + at) {
+            spent.push(at);
+        }
+    }
+    for at in &spent {
+        let within = |time: &&Duration| **time >= *at && **time < *at + config.window;
+        let before = |time: &&Duration| {
+            **time + config.window >= *at && **time < *at + config.window
+        };
+        let repeats = spent.iter().filter(within).count() as f64;
+        let asked = requests.iter().filter(before).count() as f64;
+        let allowed = asked * config.ratio + config.slack / 3.0;
+        assert!(repeats <= allowed, "{repeats} of {allowed} at {at:?}");
+    }
+    assert!(!spent.is_empty());
+}
+
+mod choosing {
+    //! What a gateway decides by itself while there is no leader.
+
+    use super::*;
+
+    fn upstream(name: &str, zone: &str) -> Upstream {
+        Upstream {
+            name: name.to_owned(),
+            instance: name.to_owned(),
+            service: "llm".to_owned(),
+            zone: zone.to_owned(),
+            slots: 10,
+            ..Upstream::default()
+        }
+    }
+
+    fn view() -> View {
+        let mut view = View::new(Duration::from_secs(5));
+        let list = List {
+            number: 1,
+            upstreams: vec![upstream("r1", "a"), upstream("r2", "b")],
+        };
+        view.take(
+            &Notice {
+                list: Some(list),
+                places: vec![place("r1", 1), place("r2", 1)],
+                whole: true,
+                ..Notice::default()
+            },
+            Instant::now(),
+        );
+        view
+    }
+
+    fn place(replica: &str, version: u64) -> Place {
+        Place {
+            replica: replica.to_owned(),
+            adapter: "base/a".to_owned(),
+            version,
+        }
+    }
+
+    fn pick(view: &View, tried: &[String], now: Instant) -> Option<(String, Option<u64>)> {
+        let need = Need {
+            service: "llm",
+            model: Some("base"),
+            adapter: Some("base/a"),
+            tried,
+            zone: "a",
+        };
+        match choose(view, &need, now) {
+            Choice::Send(upstream, version) => Some((upstream.name.clone(), version)),
+            Choice::Absent | Choice::Nobody => None,
+        }
+    }
+
+    #[test]
+    fn the_least_busy_replica_of_the_own_zone_comes_first() {
+        let mut view = view();
+        let now = Instant::now();
+        assert_eq!(pick(&view, &[], now), Some(("r1".to_owned(), Some(1))));
+        view.open("r1");
+        assert_eq!(pick(&view, &[], now), Some(("r2".to_owned(), Some(1))));
+    }
+
+    #[test]
+    fn a_replica_that_fails_again_and_again_is_avoided_for_a_while() {
+        let mut view = view();
+        let now = Instant::now();
+        view.failed("r1", now);
+        assert_eq!(pick(&view, &[], now).unwrap().0, "r1");
+        view.failed("r1", now);
+        assert_eq!(pick(&view, &[], now).unwrap().0, "r2");
+        let later = now + Duration::from_secs(5);
+        assert_eq!(pick(&view, &[], later).unwrap().0, "r1");
+    }
+
+    #[test]
+    fn a_place_that_a_replica_denied_is_told_and_avoided() {
+        let mut view = view();
+        let now = Instant::now();
+        view.deny("r1", "base/a", now);
+        assert_eq!(pick(&view, &[], now).unwrap().0, "r2");
+        assert_eq!(view.take_missing().len(), 1);
+    }
+
+    #[test]
+    fn an_older_version_serves_only_until_the_bound_nears() {
+        let mut view = view();
+        let now = Instant::now();
+        let notice = Notice {
+            announced: vec![Announcement {
+                adapter: "base/a".to_owned(),
+                version: 2,
+            }],
+            ..Notice::default()
+        };
+        view.take(&notice, now);
+        assert_eq!(pick(&view, &[], now).unwrap().1, Some(1));
+        assert_eq!(pick(&view, &[], now + Duration::from_secs(4)), None);
+        let notice = Notice {
+            places: vec![place("r2", 2)],
+            ..Notice::default()
+        };
+        view.take(&notice, now);
+        assert_eq!(pick(&view, &[], now), Some(("r2".to_owned(), Some(2))));
+    }
+
+    #[test]
+    fn open_requests_of_other_gateways_count() {
+        let mut view = view();
+        let now = Instant::now();
+        view.open("r2");
+        view.tell_open();
+        let open = Counts {
+            list: 1,
+            counts: vec![5, 1],
+        };
+        let notice = Notice {
+            open: Some(open),
+            ..Notice::default()
+        };
+        view.take(&notice, now);
+        assert_eq!(pick(&view, &[], now).unwrap().0, "r2");
+    }
+}
