--- a/crates/tanagershift/src/gateway/hub.rs
+++ b/crates/tanagershift/src/gateway/hub.rs
@@ -205,8 +205,13 @@
             return idle;
         };
         let mut wake = leading.next_notice;
-        if let Some(due) = leading.placement.next_due() {
-            wake = wake.min(due.max(leading.orders_from));
+        let now = Instant::now();
+        let may_order = now >= leading.orders_from && self.board.holds_lease();
+        if now < leading.orders_from {
+            wake = wake.min(leading.orders_from);
+        }
+        if let Some(due) = leading.placement.next_due(may_order) {
+            wake = wake.min(due);
         }
         if !leading.asked.is_empty() {
             wake = wake.min(leading.next_sweep);
@@ -339,10 +344,9 @@
         };
         leading.sweep(now);
         leading.decide(now);
-        if now >= leading.orders_from && self.board.holds_lease() {
-            for action in leading.placement.tick(now) {
-                carry_out(&self.gateway, &self.board, &self.inputs, leading, action);
-            }
+        let may_order = now >= leading.orders_from && self.board.holds_lease();
+        for action in leading.placement.tick(may_order, now) {
+            carry_out(&self.gateway, &self.board, &self.inputs, leading, action);
         }
         let changes = leading.placement.take_changes();
         leading.tell_wanting(&changes);
@@ -573,6 +577,8 @@
                 replica,
                 adapter,
                 version,
+                cost_ms,
+                holders,
             } => {
                 if let Some(adapter) = &adapter {
                     self.placement.count_use(&replica, adapter, true);
@@ -580,6 +586,15 @@
                 let Some(asked) = self.asked.get(&number) else {
                     return;
                 };
+                log::info!(
+                    "event=schedule.send request={} replica={replica} version={} cost_ms={cost_ms} \
+                     holders={holders} running={} waited_ms={} waiting={}",
+                    asked.request,
+                    version.unwrap_or(0),
+                    self.schedule.running(&replica),
+                    now.duration_since(asked.came).as_millis(),
+                    self.schedule.waiting().count(),
+                );
                 let grant = Body::Grant(Grant {
                     replica,
                     version: version.unwrap_or(0),
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -402,7 +402,7 @@
     }
 
     /// When `tick` has something to do next, if that is known.
-    pub fn next_due(&self) -> Option<Instant> {
+    pub fn next_due(&self, may_order: bool) -> Option<Instant> {
         let due = |replica: &Replica| -> Option<Instant> {
             if replica.pending.is_some() || replica.reporting || replica.upstream.draining {
                 return None;
@@ -410,6 +410,9 @@
             if replica.accepted.is_none() {
                 return Some(replica.report_at);
             }
+            if !may_order {
+                return None;
+            }
             let slots = replica.slots.values();
             let times = slots.filter_map(|slot| match slot.state {
                 State::Loading { check } | State::Unloading { check } => Some(check),
@@ -419,12 +422,14 @@
             times.min()
         };
         let due = self.replicas.values().filter_map(due).min();
-        due.into_iter().chain(self.plan_at).min()
+        let plan = self.plan_at.filter(|_| may_order);
+        due.into_iter().chain(plan).min()
     }
 
-    /// Lets time pass and says what must be done now.
-    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        if self.plan_at.is_none_or(|at| now >= at) {
+    /// Lets time pass and says what must be done now. Without `may_order`, replicas are only asked
+    /// for reports.
+    pub fn tick(&mut self, may_order: bool, now: Instant) -> Vec<Action> {
+        if may_order && self.plan_at.is_none_or(|at| now >= at) {
             self.plan_at = Some(now + PLAN_INTERVAL);
             self.wants.retain(|_, want| now < want.heard + WANT_LIFE);
             self.plan_models(now);
@@ -438,7 +443,7 @@
         let mut transit = self.store_transit();
         let names: Vec<_> = self.replicas.keys().cloned().collect();
         for name in names {
-            actions.extend(self.act(&name, &mut transit, now));
+            actions.extend(self.act(&name, may_order, &mut transit, now));
         }
         actions
     }
@@ -743,7 +748,13 @@
     }
 
     /// The next step at one replica.
-    fn act(&mut self, name: &str, transit: &mut usize, now: Instant) -> Option<Action> {
+    fn act(
+        &mut self,
+        name: &str,
+        may_order: bool,
+        transit: &mut usize,
+        now: Instant,
+    ) -> Option<Action> {
         let config = &self.config;
         let replica = self.replicas.get_mut(name)?;
         if replica.upstream.draining || replica.pending.is_some() || replica.reporting {
@@ -758,6 +769,9 @@
                 replica: name.to_owned(),
             });
         };
+        if !may_order {
+            return None;
+        }
         let (operation, adapter) =
             next_order(replica, config, *transit < self.transit_limit as usize, now)?;
         let slot = replica.slots.get(&adapter)?;
@@ -806,9 +820,7 @@
             Ordered::Unknown | Ordered::Fenced => {}
             Ordered::Gone => {
                 // What was decided for it is decided again, elsewhere.
-                replica
-                    .slots
-                    .retain(|_, slot| slot.state != State::Planned);
+                replica.slots.retain(|_, slot| slot.state != State::Planned);
                 ask_again(replica, self.config.report_lag, now);
             }
             Ordered::Invalid => {
--- a/crates/tanagershift/src/gateway/placement/tests.rs
+++ b/crates/tanagershift/src/gateway/placement/tests.rs
@@ -104,13 +104,17 @@
         let ended = |began: &Instant| now >= *began + LOAD;
         let engines = &mut self.engines;
         engines.most_in_transit = engines.most_in_transit.max(engines.loading.len());
-        let done: Vec<_> = engines.loading.iter().filter(|(_, began)| ended(began)).collect();
+        let done: Vec<_> = engines
+            .loading
+            .iter()
+            .filter(|(_, began)| ended(began))
+            .collect();
         let done: Vec<_> = done.into_iter().map(|(key, _)| key.clone()).collect();
         for key in done {
             engines.loading.remove(&key);
             engines.loaded.insert(key, FIRST_VERSION);
         }
-        for action in self.placement.tick(now) {
+        for action in self.placement.tick(true, now) {
             self.carry_out(action);
         }
     }
@@ -215,7 +219,11 @@
     world.placement.want("base/a1", 1, world.now);
     world.run(Duration::from_millis(400));
     assert_eq!(world.homes("base/a1"), 1);
-    let loads = world.engines.loaded.keys().filter(|(_, one)| one == "base/a1");
+    let loads = world
+        .engines
+        .loaded
+        .keys()
+        .filter(|(_, one)| one == "base/a1");
     assert_eq!(loads.count(), 1);
 }
 
@@ -225,7 +233,9 @@
     let mut world = World::new(6, 8);
     world.run(Duration::from_millis(100));
     for number in 0..200 {
-        world.placement.want(&format!("base/rare{number}"), 1, world.now);
+        world
+            .placement
+            .want(&format!("base/rare{number}"), 1, world.now);
     }
     world.run(Duration::from_millis(250));
     let summary = world.placement.summary();
@@ -235,7 +245,11 @@
     // Nobody repeats the wants, so nothing more is loaded for them.
     world.run(Duration::from_millis(1500));
     assert_eq!(world.placement.summary().wanted, 0);
-    assert!(world.engines.loaded.len() < 40, "{}", world.engines.loaded.len());
+    assert!(
+        world.engines.loaded.len() < 40,
+        "{}",
+        world.engines.loaded.len()
+    );
 }
 
 /// Pattern: an adapter with many requests beside many with few.
@@ -282,7 +296,10 @@
         world.run(Duration::from_millis(400));
     }
     world.placement.count_use("r00", "base/used", true);
-    world.engines.used.push(("r00".to_owned(), "base/used".to_owned()));
+    world
+        .engines
+        .used
+        .push(("r00".to_owned(), "base/used".to_owned()));
     world.run(Duration::from_secs(2));
     for adapter in ["base/x", "base/y"] {
         world.ask(adapter, 20);
@@ -332,7 +349,11 @@
     world.placement.want("base/a1", 1, world.now);
     world.run(Duration::from_millis(500));
     world.placement.announce("base/a1", 2, world.now);
-    assert_eq!(world.homes("base/a1"), 1, "the older version serves meanwhile");
+    assert_eq!(
+        world.homes("base/a1"),
+        1,
+        "the older version serves meanwhile"
+    );
     for _ in 0..300 {
         world.ask("base/a1", 1);
         if world.homes("base/a1") == 0 {
@@ -348,7 +369,37 @@
         matches!(order, Action::Order { operation: Operation::Load, adapter, version: Some(2), .. }
             if adapter == "base/a1")
     });
-    assert!(loads.count() > 0, "the new version is ordered by its number");
+    assert!(
+        loads.count() > 0,
+        "the new version is ordered by its number"
+    );
+}
+
+/// A new leader learns at once what replicas hold, and orders only when it may.
+#[test]
+fn reports_are_asked_for_before_orders_are_allowed() {
+    let now = Instant::now();
+    let mut placement = Placement::new(Config::default());
+    placement.configure(&configuration(4), now);
+    placement.list(&[upstream("r", &["base"])], now);
+    placement.want("base/a1", 1, now);
+    let actions = placement.tick(false, now);
+    assert!(
+        matches!(&actions[..], [Action::Report { .. }]),
+        "{actions:?}"
+    );
+    let report = Report {
+        models: vec!["base".to_owned()],
+        adapters: vec![Announcement {
+            adapter: "base/a2".to_owned(),
+            version: 1,
+        }],
+        ..Report::default()
+    };
+    placement.reported("r", Some(&report), now);
+    assert_eq!(placement.usable("base/a2", now).len(), 1);
+    assert!(placement.tick(false, now).is_empty());
+    assert_eq!(placement.tick(true, now).len(), 1);
 }
 
 /// No order is given while one is unanswered, and none beyond the places.
@@ -357,7 +408,9 @@
     let mut world = World::new(2, 5);
     world.run(Duration::from_millis(100));
     for number in 0..60 {
-        world.placement.want(&format!("base/a{number}"), 1, world.now);
+        world
+            .placement
+            .want(&format!("base/a{number}"), 1, world.now);
         world.ask(&format!("base/a{number}"), 1);
         world.run(Duration::from_millis(70));
         for name in ["r00", "r01"] {
@@ -381,7 +434,7 @@
         models: vec!["base".to_owned()],
         ..Report::default()
     };
-    placement.tick(now);
+    placement.tick(true, now);
     placement.reported("r", Some(&report), now);
     placement.want("base/a1", 1, now);
     let first = order(&mut placement, now);
@@ -389,11 +442,14 @@
     assert_eq!(placement.replicas()["r"].free(), 1);
     let second = order(&mut placement, now + STEP);
     assert_eq!((first.1, second.1), (0, 0), "the count that is expected");
-    assert_eq!(placement.replicas()["r"].slots["base/a1"].state, State::Planned);
+    assert_eq!(
+        placement.replicas()["r"].slots["base/a1"].state,
+        State::Planned
+    );
 }
 
 fn order(placement: &mut Placement, now: Instant) -> (u64, u64) {
-    let actions = placement.tick(now);
+    let actions = placement.tick(true, now);
     match &actions[..] {
         [Action::Order { number, expect, .. }] => (*number, *expect),
         other => panic!("{other:?}"),
--- a/crates/tanagershift/src/gateway/schedule.rs
+++ b/crates/tanagershift/src/gateway/schedule.rs
@@ -143,6 +143,10 @@
         adapter: Option<String>,
         /// Version of its adapter there.
         version: Option<u64>,
+        /// Milliseconds until the replica should have read its prompt, and what else counted.
+        cost_ms: u64,
+        /// Replicas that had what it needs.
+        holders: usize,
     },
     /// It cannot be served in time.
     Refuse {
@@ -320,14 +324,16 @@
             let Some(job) = self.waiting.get(&number) else {
                 continue;
             };
-            if let Some((replica, version)) = self.choose(job, &found, now) {
+            if let Some((cost, chosen)) = self.choose(job, &found, now) {
                 let adapter = job.adapter.clone();
-                self.give(number, &replica, now);
+                self.give(number, &chosen.name, now);
                 decisions.push(Decision::Send {
                     number,
-                    replica,
+                    replica: chosen.name.clone(),
                     adapter,
-                    version,
+                    version: chosen.version,
+                    cost_ms: cost as u64,
+                    holders: found.len(),
                 });
             } else if now >= job.give_up {
                 self.remove(number);
@@ -338,26 +344,19 @@
         decisions
     }
 
-    /// The candidate that would begin the job first, if any may be given it now.
-    fn choose(
+    /// The candidate that would begin the job first, if any may be given it now, and its cost.
+    fn choose<'a>(
         &self,
         job: &Job,
-        candidates: &[Candidate],
+        candidates: &'a [Candidate],
         now: Instant,
-    ) -> Option<(id::Upstream, Option<u64>)> {
-        let mut best: Option<(f64, &Candidate)> = None;
-        for candidate in candidates {
-            if job.tried.contains(&candidate.name) {
-                continue;
-            }
-            let Some(cost) = self.cost(job, candidate, now) else {
-                continue;
-            };
-            if best.is_none_or(|(known, _)| cost < known) {
-                best = Some((cost, candidate));
-            }
-        }
-        best.map(|(_, candidate)| (candidate.name.clone(), candidate.version))
+    ) -> Option<(f64, &'a Candidate)> {
+        let untried = candidates
+            .iter()
+            .filter(|one| !job.tried.contains(&one.name));
+        untried
+            .filter_map(|candidate| Some((self.cost(job, candidate, now)?, candidate)))
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
     /// Milliseconds until a replica would have read a job's prompt, and what else counts against
--- a/crates/tanagershift/src/gateway/server.rs
+++ b/crates/tanagershift/src/gateway/server.rs
@@ -93,6 +93,28 @@
     }
 }
 
+/// Logs a caller who leaves before there is an answer: then the work on the request is dropped.
+struct Pending {
+    gateway: Arc<Gateway>,
+    id: String,
+    began: Instant,
+    answered: bool,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if !self.answered {
+            let waited = self.began.elapsed();
+            self.gateway.metrics.request("-", "caller_left");
+            log::info!(
+                "event=request.left request={} waited_ms={}",
+                self.id,
+                waited.as_millis()
+            );
+        }
+    }
+}
+
 async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let open = Open::new(gateway.clone());
     let began = Instant::now();
@@ -100,8 +122,15 @@
     // not be taken for a request.
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let id = gateway.dialect.request_id(request.headers());
+    let mut pending = Pending {
+        gateway: gateway.clone(),
+        id: id.clone(),
+        began,
+        answered: false,
+    };
     let mut trace = Trace::default();
     let outcome = forward::answer(&gateway, request, &mut trace).await;
+    pending.answered = true;
     let mut response = match outcome {
         Ok(response) => response,
         Err(rejection) => {
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -173,7 +173,10 @@
         let later = now + Duration::from_secs(1);
         schedule.add(with_parts(2, later));
         let found = [candidate("cold", "a"), candidate("warm", "a")];
-        assert_eq!(decide(&mut schedule, &found, later), [(2, "warm".to_owned())]);
+        assert_eq!(
+            decide(&mut schedule, &found, later),
+            [(2, "warm".to_owned())]
+        );
     }
 
     /// Pattern: callers who give up; what they held is free again.
@@ -326,9 +329,8 @@
     }
     for at in &spent {
         let within = |time: &&Duration| **time >= *at && **time < *at + config.window;
-        let before = |time: &&Duration| {
-            **time + config.window >= *at && **time < *at + config.window
-        };
+        let before =
+            |time: &&Duration| **time + config.window >= *at && **time < *at + config.window;
         let repeats = spent.iter().filter(within).count() as f64;
         let asked = requests.iter().filter(before).count() as f64;
         let allowed = asked * config.ratio + config.slack / 3.0;
--- a/crates/tanagershift/src/quorum/disk_tests.rs
+++ b/crates/tanagershift/src/quorum/disk_tests.rs
@@ -94,12 +94,12 @@
 #[test]
 fn an_unsynced_record_behind_a_lost_seal_is_cut() {
     let folder = tempfile::tempdir().unwrap();
-    with_entries(folder.path(), 2);
+    let mut disk = formatted(folder.path());
+    disk.append(None, vec![entry(1, 1), entry(2, 1)]).unwrap();
     let path = folder.path().join("log");
     let two = fs::read(&path).unwrap();
     let magic = 0x7461_6e31_u32.to_le_bytes();
     let seal = two.windows(4).rposition(|window| window == magic).unwrap();
-    let mut disk = reopen(folder.path()).unwrap().0;
     disk.append(None, vec![entry(3, 1)]).unwrap();
     drop(disk);
     let three = fs::read(&path).unwrap();
--- a/crates/tanagershift/src/settings.rs
+++ b/crates/tanagershift/src/settings.rs
@@ -242,8 +242,7 @@
         let mut private = false;
         section.read("private-network", &mut private, ini::flag)?;
         if host.token_file.is_none() && !private && !host.peer.ip().is_loopback() {
-            let reason =
-                "must be given when peer is not a loopback address, unless private-network = yes";
+            let reason = "must be given when peer is not a loopback address";
             return Err(section.error("token-file", None, reason));
         }
         section.finish()?;
--- a/crates/tanagershift/src/voter/mod.rs
+++ b/crates/tanagershift/src/voter/mod.rs
@@ -12,6 +12,8 @@
 //! * `driver`: input and output.
 
 pub mod admission;
+#[cfg(test)]
+mod admission_tests;
 pub mod command;
 pub mod driver;
 pub mod feed;
