--- a/crates/tanagershift/src/gateway/control.rs
+++ b/crates/tanagershift/src/gateway/control.rs
@@ -16,7 +16,7 @@
     time::{Instant, sleep},
 };
 
-use super::{Gateway, connection, dialect};
+use super::{Gateway, connection, dialect, document};
 use crate::{
     emit,
     follower::Leader,
@@ -131,10 +131,10 @@
                 Err(invalid) => return refuse(invalid.to_string()),
                 Ok(configuration) => {
                     let version = configuration.version;
-                    let document = Document {
-                        version,
-                        text: body,
+                    let Ok(text) = document::pack(&body) else {
+                        return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "cannot be packed");
                     };
+                    let document = Document { version, text };
                     (Order::Configure(document), format!("version {version}"))
                 }
             }
@@ -171,10 +171,13 @@
             ..Query::default()
         });
         match self.leader.ask(query, LEADER_TIMEOUT, ATTEMPT).await {
-            Ok(Body::Report(text)) if !text.is_empty() => Answer {
-                status: StatusCode::OK,
-                body: text,
-                reason: "confirmed by a majority".to_owned(),
+            Ok(Body::Report(packed)) if !packed.is_empty() => match document::unpack(&packed) {
+                Ok(body) => Answer {
+                    status: StatusCode::OK,
+                    body,
+                    reason: "confirmed by a majority".to_owned(),
+                },
+                Err(error) => Answer::new(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
             },
             Ok(Body::Report(_)) => {
                 Answer::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet")
--- a/crates/tanagershift/src/gateway/follow.rs
+++ b/crates/tanagershift/src/gateway/follow.rs
@@ -12,9 +12,9 @@
 use crate::{link::Call, wire::Body};
 
 /// Longest wait for a leader to begin to tell.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest wait for one host in the search for the leader.
-const ATTEMPT: Duration = Duration::from_millis(700);
+const ATTEMPT: Duration = Duration::from_millis(1500);
 /// Pause after no leader was found.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 /// Intervals without a notice after which the connection to the leader counts as lost.
@@ -119,21 +119,16 @@
         if document.version <= self.version() {
             return;
         }
-        match self.gateway.dialect.configuration(&document.text) {
-            Ok(configuration) => {
-                log::info!(
-                    "event=configuration.in_force version={} routes={}",
-                    configuration.version,
-                    configuration.count()
-                );
-                self.gateway.metrics.version.set(document.version as i64);
-                self.gateway.view().configuration = Some(Arc::new(configuration));
-            }
-            Err(error) => log::error!(
-                "event=configuration.unreadable version={} reason={error}",
-                document.version
-            ),
-        }
+        let Some(configuration) = self.gateway.read_document(document) else {
+            return;
+        };
+        log::info!(
+            "event=configuration.in_force version={} routes={}",
+            configuration.version,
+            configuration.count()
+        );
+        self.gateway.metrics.version.set(document.version as i64);
+        self.gateway.view().configuration = Some(Arc::new(configuration));
     }
 
     /// Tells the leader what was seen, until the process ends.
--- /dev/null
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -0,0 +1,190 @@
+//! Requests that ask the leader for a replica.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{Asked, Leading};
+use crate::{
+    gateway::{
+        feed::{Ask, Demand, Grant},
+        placement,
+        schedule::{Candidate, Decision, Job, Number, Part},
+    },
+    link::Responder,
+    wire::Body,
+};
+
+/// Time between two checks for requests that have ended.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
+/// Wait at busy replicas after which one more gets the adapter.
+const PRESS_AFTER: Duration = Duration::from_millis(400);
+/// Time after which a refused request may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(1000);
+
+impl Leading {
+    /// Puts a request for a replica in the queue.
+    pub(super) fn ask(&mut self, ask: Ask, responder: Responder, now: Instant) {
+        let number = self.next_number;
+        self.next_number += 1;
+        let adapter = (!ask.adapter.is_empty()).then_some(ask.adapter);
+        let demand = Demand {
+            adapter: adapter.clone().unwrap_or_else(|| ask.model.clone()),
+            came: 1,
+            waiting: 0,
+        };
+        self.placement.demand(&[demand], now);
+        let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
+        let objective = match ask.objective_ms >= 0 {
+            true => now + objective,
+            false => now.checked_sub(objective).unwrap_or(now),
+        };
+        let parts = ask.digests.iter().zip(&ask.tokens);
+        self.schedule.add(Job {
+            number,
+            service: ask.service,
+            model: ask.model,
+            adapter,
+            zone: ask.zone,
+            prompt: ask.prompt,
+            output: ask.output,
+            parts: parts
+                .map(|(digest, tokens)| Part {
+                    digest: *digest,
+                    tokens: *tokens,
+                })
+                .collect(),
+            priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
+            came: now,
+            objective,
+            give_up: now + Duration::from_millis(ask.give_up_ms),
+            tried: ask.tried,
+        });
+        self.asked.insert(
+            number,
+            Asked {
+                request: ask.request,
+                responder,
+                came: now,
+            },
+        );
+    }
+
+    /// Forgets requests that have ended.
+    pub(super) fn sweep(&mut self, now: Instant) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
+        let ended = self
+            .asked
+            .iter()
+            .filter(|(_, asked)| asked.responder.is_cancelled());
+        let ended: Vec<Number> = ended.map(|(number, _)| *number).collect();
+        for number in ended {
+            self.end(number);
+        }
+    }
+
+    pub(super) fn end(&mut self, number: Number) {
+        self.asked.remove(&number);
+        if let Some(running) = self.schedule.end(number)
+            && let Some(adapter) = &running.adapter
+        {
+            self.placement.count_use(&running.replica, adapter, false);
+        }
+    }
+
+    /// Gives replicas to requests, and asks the placement for what is missing.
+    pub(super) fn decide(&mut self, now: Instant) {
+        let (placement, others, memory) = (&self.placement, &self.others, &self.memory);
+        let candidate = |replica: &placement::Replica, version: Option<u64>| Candidate {
+            name: replica.upstream.name.clone(),
+            zone: replica.upstream.zone.clone(),
+            slots: replica.upstream.slots,
+            memory: memory.get(&replica.upstream.service).copied().unwrap_or(0),
+            others: others.get(&replica.upstream.name).copied().unwrap_or(0),
+            version,
+        };
+        let mut missing = Vec::new();
+        let decisions = self.schedule.decide(now, |group, oldest, jobs| {
+            let mine = |one: &&placement::Replica| one.upstream.service == group.service;
+            let Some(adapter) = &group.adapter else {
+                let holders = placement.holders(&group.model).filter(mine);
+                return holders.map(|one| candidate(one, None)).collect();
+            };
+            let usable = placement.usable(adapter, now).into_iter();
+            let usable = usable.filter(|(one, _)| mine(one));
+            let found: Rc<[Candidate]> = usable
+                .map(|(one, version)| candidate(one, Some(version)))
+                .collect();
+            let untried = found.iter().any(|one| !oldest.tried.contains(&one.name));
+            if !untried || now > oldest.came + PRESS_AFTER {
+                missing.push((adapter.clone(), found.is_empty(), jobs));
+            }
+            found
+        });
+        for (adapter, absent, jobs) in missing {
+            match absent {
+                true => self.placement.want(&adapter, jobs as u32, now),
+                false => self.placement.press(&adapter, now),
+            }
+        }
+        for decision in decisions {
+            self.tell_decision(decision, now);
+        }
+    }
+
+    pub(super) fn tell_decision(&mut self, decision: Decision, now: Instant) {
+        match decision {
+            Decision::Send {
+                number,
+                replica,
+                adapter,
+                version,
+                cost_ms,
+                holders,
+            } => {
+                if let Some(adapter) = &adapter {
+                    self.placement.count_use(&replica, adapter, true);
+                }
+                let Some(asked) = self.asked.get(&number) else {
+                    return;
+                };
+                log::info!(
+                    "event=schedule.send request={} replica={replica} version={} cost_ms={cost_ms} \
+                     holders={holders} running={} waited_ms={} waiting={}",
+                    asked.request,
+                    version.unwrap_or(0),
+                    self.schedule.running(&replica),
+                    now.duration_since(asked.came).as_millis(),
+                    self.schedule.waiting(),
+                );
+                let grant = Body::Grant(Grant {
+                    replica,
+                    version: version.unwrap_or(0),
+                    ..Grant::default()
+                });
+                if asked.responder.send_now(grant).is_err() {
+                    self.end(number);
+                }
+            }
+            Decision::Refuse { number, holders } => {
+                let Some(asked) = self.asked.remove(&number) else {
+                    return;
+                };
+                log::info!(
+                    "event=schedule.refuse request={} waited_ms={} waiting={} holders={holders}",
+                    asked.request,
+                    now.duration_since(asked.came).as_millis(),
+                    self.asked.len()
+                );
+                asked.responder.finish_now(Body::Grant(Grant {
+                    retry_after_ms: RETRY_AFTER.as_millis() as u64,
+                    reason: "no replica could begin it in time".to_owned(),
+                    ..Grant::default()
+                }));
+            }
+        }
+    }
+}
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod control;
 pub mod daemon;
 pub mod dialect;
+pub mod document;
 pub mod event_stream;
 pub mod exchange;
 pub mod feed;
@@ -52,6 +53,7 @@
 
 use crate::{follower::Leader, id, verdict::Verdict};
 use budget::Budget;
+use configuration::Configuration;
 use connection::Pool;
 use dialect::Dialect;
 use exchange::Job;
@@ -150,6 +152,24 @@
         !self.is_draining() && self.view().configuration.is_some()
     }
 
+    /// Reads a configuration as the log carries it; one that cannot be read is logged.
+    pub fn read_document(&self, document: &feed::Document) -> Option<Configuration> {
+        let read = document::unpack(&document.text)
+            .map_err(|error| error.to_string())
+            .and_then(|text| {
+                let read = self.dialect.configuration(&text);
+                read.map_err(|error| error.to_string())
+            });
+        match read {
+            Ok(configuration) => Some(configuration),
+            Err(reason) => {
+                let version = document.version;
+                log::error!("event=configuration.unreadable version={version} reason={reason:?}");
+                None
+            }
+        }
+    }
+
     /// Writes the log line of a job that an upstream answered.
     pub fn log_end(
         &self,
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -238,6 +238,28 @@
     );
 }}
 
+/// Pattern: a configuration with many routes goes to every gateway at once.
+#[test]
+fn a_large_configuration_is_sent_small_and_comes_back_whole() {
+    let route = |n: u32| {
+        format!(
+            r#"{{"name":"r{n}","host":"h{}.example","kind":"safe"}}"#,
+            n * 7
+        )
+    };
+    let text: Vec<String> = (0..350).map(route).collect();
+    let text = text.join(",");
+    let packed = super::document::pack(text.as_bytes()).unwrap();
+    assert!(
+        packed.len() * 5 < text.len(),
+        "{} of {}",
+        packed.len(),
+        text.len()
+    );
+    assert_eq!(super::document::unpack(&packed).unwrap(), text);
+    assert!(super::document::unpack(b"not packed").is_err());
+}
+
 fn route(name: &str, prefix: &str) -> Route {
     Route {
         name: name.to_owned(),
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -22,7 +22,9 @@
 use tokio_util::codec::Framed;
 
 use crate::{
-    emit, id,
+    emit,
+    gateway::connection,
+    id,
     wire::{Body, Cancel, Codec, Frame, Hello, Redirect, VERSION},
 };
 
@@ -133,10 +135,8 @@
             let stream = TcpStream::connect(address)
                 .await
                 .map_err(|error| error.to_string())?;
-            // Small frames must not wait for one another.
-            stream
-                .set_nodelay(true)
-                .map_err(|error| error.to_string())?;
+            // Small frames must not wait for one another, and a silent peer must be noticed.
+            connection::tune(&stream).map_err(|error| error.to_string())?;
             let mut connection = Framed::new(stream, Codec::default());
             connection
                 .send(greeting.hello())
@@ -547,8 +547,8 @@
 where
     H: Fn(Body, Responder),
 {
-    // A connection without it works, only slower.
-    let _ = stream.set_nodelay(true);
+    // A connection without the options works, only slower.
+    let _ = connection::tune(&stream);
     let mut connection = Framed::new(stream, Codec::default());
     let first = timeout(CONNECT_TIMEOUT, connection.next()).await;
     let hello = match greeting.accepts(first.ok().flatten().and_then(Result::ok)) {
