daemon: the figure of dropped log lines is set; one copy of the error chain

Cause: the gauge was served but never set, so it always read zero; and the function that writes an error with its causes stood twice.

--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -22,7 +22,7 @@
     time::{Instant, timeout},
 };
 
-use crate::verdict::Verdict;
+use crate::{holder::engine::chain, verdict::Verdict};
 
 /// Longest time to connect; a replica in the region answers within a few milliseconds, and a lost
 /// opening packet is sent again after a second.
@@ -147,17 +147,6 @@
     }
 }
 
-/// An error with its causes.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
-
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Takes the number of log lines that were dropped since the start.
+    pub fn set_dropped_lines(&self, lines: usize) {
+        let lines = i64::try_from(lines).unwrap_or(i64::MAX);
+        self.gateway.metrics.dropped_lines.set(lines);
+    }
+
     /// Shuts down: no request is cut off unless the grace period passes.
     pub async fn shutdown(&self) {
         let began = Instant::now();
--- a/crates/tanagershift/src/holder/engine.rs
+++ b/crates/tanagershift/src/holder/engine.rs
@@ -89,7 +89,7 @@
 }
 
 /// An error with its causes.
-fn chain(error: &dyn std::error::Error) -> String {
+pub(crate) fn chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/crates/tanagershiftd/src/main.rs
+++ b/crates/tanagershiftd/src/main.rs
@@ -19,9 +19,9 @@
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
-    time::timeout,
+    time::{sleep, timeout},
 };
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 
 /// Exit code for settings that cannot be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -31,6 +31,8 @@
 const LOG_LINES: usize = 4096;
 /// Time between two readings of the settings file when no signal asks for one.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two looks at the number of dropped log lines.
+const COUNT_INTERVAL: Duration = Duration::from_secs(5);
 /// Threads that run tasks; a host has less than one core, and waiting for the disk gets a thread of
 /// its own.
 const WORKERS: usize = 1;
@@ -61,13 +63,14 @@
         println!("{}: ok", arguments.config.display());
         return ExitCode::SUCCESS;
     }
-    let _flushed_at_exit = start_log();
+    let (_flushed_at_exit, dropped) = start_log();
     let runtime = Builder::new_multi_thread()
         .worker_threads(WORKERS)
         .thread_stack_size(STACK)
         .enable_all()
         .build();
-    let outcome = runtime.map(|runtime| runtime.block_on(run(settings, &arguments.config)));
+    let outcome =
+        runtime.map(|runtime| runtime.block_on(run(settings, &arguments.config, dropped)));
     match outcome {
         Ok(Ok(())) => ExitCode::SUCCESS,
         Ok(Err(error)) => {
@@ -82,20 +85,21 @@
 }
 
 /// Sends log lines to standard output without ever waiting for it.
-fn start_log() -> WorkerGuard {
+fn start_log() -> (WorkerGuard, ErrorCounter) {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LOG_LINES)
         .finish(io::BufWriter::new(io::stdout()));
+    let dropped = writer.error_counter();
     env_logger::Builder::from_env(Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .target(Target::Pipe(Box::new(writer)))
         .init();
-    guard
+    (guard, dropped)
 }
 
 /// Runs until the first signal, then shuts down; a second signal exits at once.
-async fn run(mut settings: Settings, file: &Path) -> Result<(), Error> {
+async fn run(mut settings: Settings, file: &Path, dropped: ErrorCounter) -> Result<(), Error> {
     match settings.gateway.take() {
         Some(config) => {
             let platform = Arc::new(Platform);
@@ -103,6 +107,7 @@
             tokio::select! {
                 () = signalled() => {}
                 () = keep_reading(&daemon, file) => {}
+                () = count_dropped(&daemon, &dropped) => {}
             }
             tokio::select! {
                 () = daemon.shutdown() => Ok(()),
@@ -139,6 +144,14 @@
     }
 }
 
+/// Keeps the figure of log lines that were dropped up to date.
+async fn count_dropped(daemon: &gateway::daemon::Daemon, dropped: &ErrorCounter) {
+    loop {
+        sleep(COUNT_INTERVAL).await;
+        daemon.set_dropped_lines(dropped.dropped_lines());
+    }
+}
+
 /// Waits for the signal to terminate, or to interrupt.
 async fn signalled() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
