follower: ask the next candidate for leader at once when one has failed

Cause: the search started each candidate 150 ms after the one before, also when that one had refused at once, so a host whose last leader or peer was killed found the leader too late for a claim; the test of the killed entry host then got 503 not_run.

--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -1,8 +1,6 @@
 //! How a host finds the leader, follows the configuration, and renews its leases.
 
 use std::{
-    future,
-    pin::pin,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -103,16 +101,21 @@
         timeout(limit, self.open_any(&body, attempt)).await.ok()?
     }
 
-    /// Asks every candidate, each a little after the one before, until one answers.
+    /// Asks every candidate until one answers: the next one when the one before has failed, or has
+    /// not answered for a little while.
     async fn open_any(&self, body: &Body, attempt: Duration) -> Option<(Call, Body)> {
-        let ask = |(number, address): (usize, String)| async move {
-            sleep(STAGGER * number as u32).await;
-            self.open_at(address, body, attempt).await
-        };
-        let asked: FuturesUnordered<_> =
-            self.candidates().into_iter().enumerate().map(ask).collect();
-        let answers = asked.filter_map(future::ready);
-        pin!(answers).next().await
+        let mut candidates = self.candidates().into_iter();
+        let mut asked = FuturesUnordered::new();
+        loop {
+            match candidates.next() {
+                Some(address) => asked.push(self.open_at(address, body, attempt)),
+                None if asked.is_empty() => return None,
+                None => {}
+            }
+            if let Ok(Some(Some(opened))) = timeout(STAGGER, asked.next()).await {
+                return Some(opened);
+            }
+        }
     }
 
     /// The leader as last known, then every voter, then the seeds.
