gateways: configurations travel as patches; a search asks each host once; a late load is no press

(1) Each configuration of 100 KB went to 85 gateways whole, and each change again, so the leader's link was full for seconds; notices queued per gateway (up to 128, 122 MB at the peak). (2) A search for the leader that got no answer in 150 ms asked the next voter, which named the same leader: one gateway watched it every 150 ms for 25 s, and each watch was answered with everything. (3) A request whose adapter had come late was taken for one that waits at a busy replica, and the adapter was loaded twice: 603 of 1,627 adapters had two loads. (4) All hosts read the list at their start.

A gateway is told the newest configuration only, as a patch to the one it has. A search asks each host once. Pressing counts from when a replica first had what is needed. A route that is unknown is denied only while the leader is heard. A leader is waited for at the start before the list is read.

Tests that failed first: a_slow_leader_is_asked_once_in_a_search (4 for 1); the others are new functions: patches, only_a_busy_replica_presses_for_another, an_unknown_route_is_denied_only_by_the_newest_configuration. A host may bind another address for its peers than the one they use (listen-peer).

--- a/crates/tanagershift/src/daemon.rs
+++ b/crates/tanagershift/src/daemon.rs
@@ -82,7 +82,7 @@
         };
         let pool = Pool::new(greeting.clone());
         let (list, watched) = watch::channel(List::default());
-        let peers = listen(settings.host.peer).await?;
+        let peers = listen(settings.host.listen_peer.unwrap_or(settings.host.peer)).await?;
         let admin = listen(settings.host.admin).await?;
         let callers = match settings.entry.listen {
             Some(address) => Some(listen(address).await?),
--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -1,6 +1,7 @@
 //! How a host finds the leader, follows the configuration, and renews its leases.
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -105,10 +106,11 @@
     /// not answered for a little while.
     async fn open_any(&self, body: &Body, attempt: Duration) -> Option<(Call, Body)> {
         let mut candidates = self.candidates().into_iter();
+        let met = Mutex::default();
         let mut asked = FuturesUnordered::new();
         loop {
             match candidates.next() {
-                Some(address) => asked.push(self.open_at(address, body, attempt)),
+                Some(address) => asked.push(self.open_at(address, body, attempt, &met)),
                 None if asked.is_empty() => return None,
                 None => {}
             }
@@ -186,14 +188,23 @@
         *self.voters.lock().unwrap_or_else(PoisonError::into_inner) = voters;
     }
 
-    /// Asks one voter, and the leader that it names.
+    /// Asks one voter, and the leader that it names. A host that this search has asked already is not
+    /// asked again: a leader that is slow because many ask would only get slower.
     async fn open_at(
         &self,
         mut address: String,
         body: &Body,
         limit: Duration,
+        met: &Mutex<BTreeSet<String>>,
     ) -> Option<(Call, Body)> {
         for _ in 0..2 {
+            let known = !met
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .insert(address.clone());
+            if known {
+                return None;
+            }
             let opened = async {
                 let mut call = self.pool.call(&address, body.clone()).await?;
                 let first = call.next().await?;
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -59,7 +59,7 @@
             host: host.clone(),
             token: settings.token()?,
         };
-        let peers = listen(settings.host.peer).await?;
+        let peers = listen(settings.host.listen_peer.unwrap_or(settings.host.peer)).await?;
         let admin = listen(settings.host.admin).await?;
         let callers = listen(config.callers).await?;
         let ready = listen(config.ready).await?;
--- a/crates/tanagershift/src/gateway/feed.rs
+++ b/crates/tanagershift/src/gateway/feed.rs
@@ -5,6 +5,7 @@
 
 use prost::Message;
 
+use super::patch::Patch;
 pub use crate::voter::command::{Announcement, Document};
 
 /// Asks the leader for everything that a gateway must know, as it changes.
@@ -59,6 +60,9 @@
     /// Milliseconds between two tallies that the leader wants.
     #[prost(uint32, tag = "10")]
     pub interval_ms: u32,
+    /// What makes the newest accepted configuration of one that the gateway has.
+    #[prost(message, optional, tag = "11")]
+    pub patch: Option<Patch>,
 }
 
 /// The platform's list of upstreams as the leader read it.
--- a/crates/tanagershift/src/gateway/follow.rs
+++ b/crates/tanagershift/src/gateway/follow.rs
@@ -2,11 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{
-    Gateway, cloud,
-    feed::{Document, List, Notice, Tally, Watch},
+    Gateway, cloud, document,
+    feed::{List, Notice, Tally, Watch},
     settings::Config,
 };
 use crate::{link::Call, wire::Body};
@@ -27,6 +28,10 @@
 const TALLY_MIN: Duration = Duration::from_millis(4);
 /// Time without a notice after which the gateway reads the list itself.
 const LIST_STALE: Duration = Duration::from_millis(1500);
+/// Time after the start in which a leader is waited for before the gateway reads the list itself:
+/// the first election of a new group and the first notice. All hosts start at once, and each reading
+/// is priced.
+const FIRST_LEADER: Duration = Duration::from_secs(4);
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -68,9 +73,11 @@
                 .await;
             if let Some((call, Body::Notice(first))) = opened {
                 log::info!("event=leader.found term={}", first.term);
-                self.take(first);
-                let reason = self.take_notices(call).await;
-                log::info!("event=leader.lost reason={reason}");
+                let reason = match self.take(first) {
+                    Ok(()) => self.take_notices(call).await,
+                    Err(reason) => reason,
+                };
+                log::info!("event=leader.lost reason={reason:?}");
             }
             sleep(SEARCH_PAUSE).await;
         }
@@ -82,19 +89,28 @@
         configuration.map_or(0, |configuration| configuration.version)
     }
 
-    async fn take_notices(&self, mut call: Call) -> &'static str {
+    async fn take_notices(&self, mut call: Call) -> String {
         loop {
             let silence = (*self.gateway.interval.borrow() * SILENT_INTERVALS).max(SILENT_MIN);
             match timeout(silence, call.next()).await {
-                Ok(Ok(Some(Body::Notice(notice)))) => self.take(notice),
-                Ok(Ok(_)) => return "it no longer leads",
-                Ok(Err(_)) => return "connection failed",
-                Err(_) => return "silent",
+                Ok(Ok(Some(Body::Notice(notice)))) => {
+                    if let Err(reason) = self.take(notice) {
+                        return reason;
+                    }
+                }
+                Ok(Ok(_)) => return "it no longer leads".to_owned(),
+                Ok(Err(_)) => return "connection failed".to_owned(),
+                Err(_) => return "silent".to_owned(),
             }
         }
     }
 
-    fn take(&self, notice: Notice) {
+    /// Takes a notice.
+    ///
+    /// # Errors
+    ///
+    /// A patch does not fit; the gateway must start anew.
+    fn take(&self, notice: Notice) -> Result<(), String> {
         let now = Instant::now();
         self.gateway.heard.send_replace(Some(now));
         if notice.interval_ms > 0 {
@@ -106,20 +122,29 @@
         }
         let places = notice.whole || !notice.places.is_empty() || notice.list.is_some();
         self.gateway.view().take(&notice, now);
-        if let Some(document) = &notice.document {
-            self.configure(document);
-        }
         if places {
             self.gateway.changed.send_modify(|number| *number += 1);
         }
+        if let Some(document) = &notice.document {
+            let text = document::unpack(&document.text);
+            let text = text.map_err(|error| error.to_string())?;
+            self.configure(document.version, text);
+        }
+        if let Some(patch) = &notice.patch {
+            let known = self.gateway.text().clone();
+            let known = known.filter(|(version, _)| *version == patch.from);
+            let (_, old) = known.ok_or("a patch starts from another configuration")?;
+            self.configure(patch.version, patch.apply(&old)?);
+        }
+        Ok(())
     }
 
     /// Puts a configuration in force; an older one than the present never comes back.
-    fn configure(&self, document: &Document) {
-        if document.version <= self.version() {
+    fn configure(&self, version: u64, text: Bytes) {
+        if version <= self.version() {
             return;
         }
-        let Some(configuration) = self.gateway.read_document(document) else {
+        let Some(configuration) = self.gateway.read_text(version, &text) else {
             return;
         };
         log::info!(
@@ -127,7 +152,8 @@
             configuration.version,
             configuration.count()
         );
-        self.gateway.metrics.version.set(document.version as i64);
+        self.gateway.metrics.version.set(version as i64);
+        *self.gateway.text() = Some((version, text));
         self.gateway.view().configuration = Some(Arc::new(configuration));
     }
 
@@ -156,9 +182,12 @@
     /// Reads the list itself while the leader does not tell it, until the process ends.
     pub async fn fall_back(self) {
         let mut number = 0;
+        let started = Instant::now();
         loop {
             sleep(self.config.list_interval).await;
-            if self.gateway.hears_leader(LIST_STALE) {
+            let heard = self.gateway.heard.borrow().is_some();
+            let waits = !heard && started.elapsed() < FIRST_LEADER;
+            if waits || self.gateway.hears_leader(LIST_STALE) {
                 continue;
             }
             let hosts = self.gateway.view().hosts.max(1);
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -26,6 +26,9 @@
 const RETRY_SOON: Duration = Duration::from_millis(500);
 /// Time that a stream needs at least; a job that has less left is not sent any more.
 const SERVE_MIN: Duration = Duration::from_millis(300);
+/// Time without a notice after which a route that is not known may have been added; well under the
+/// time in which the platform wants an accepted configuration in force.
+const ROUTES_STALE: Duration = Duration::from_millis(1000);
 /// Longest wait for a change of places before the choice is made again.
 const PLACES_WAIT: Duration = Duration::from_millis(200);
 /// Longest time for a body to arrive.
@@ -105,7 +108,8 @@
         return Err(Rejection::later("no configuration yet"));
     };
     let (head, body) = request.into_parts();
-    let route = find_route(&configuration, &head)?;
+    let current = gateway.hears_leader(ROUTES_STALE);
+    let route = find_route(&configuration, &head, current)?;
     let call = gateway
         .dialect
         .call(&head)
@@ -132,16 +136,19 @@
     serve(gateway, job, trace).await
 }
 
-fn find_route(
+/// The route of a request; `current` says whether the configuration is known to be the newest.
+pub(super) fn find_route(
     configuration: &Configuration,
     head: &request::Parts,
+    current: bool,
 ) -> Result<Arc<Route>, Rejection> {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = head.uri.host().or(named).unwrap_or_default();
     let route = configuration.route(host, head.uri.path());
-    route
-        .cloned()
-        .ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no route"))
+    route.cloned().ok_or_else(|| match current {
+        true => Rejection::new(StatusCode::NOT_FOUND, "no route"),
+        false => Rejection::later("no route, and the configuration may be outdated"),
+    })
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -1,9 +1,11 @@
 //! The leader's part: reads the platform's list, places adapters, and tells every gateway what
 //! changed.
 //!
+//! * `edition`: configurations as gateways are told them.
 //! * `queue`: requests that ask for a replica.
 //! * `notices`: what gateways tell and are told.
 
+mod edition;
 mod notices;
 mod queue;
 
@@ -14,11 +16,13 @@
 };
 
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     task::JoinHandle,
     time::{Instant, sleep_until},
 };
 
+use edition::Edition;
+
 use super::{
     Gateway, cloud,
     dialect::{Order, Ordered, Report},
@@ -126,7 +130,8 @@
     changes: Vec<Place>,
     next_notice: Instant,
     next_summary: Instant,
-    version: u64,
+    /// The newest configuration; gateways that fall behind are told only the newest.
+    edition: watch::Sender<Option<Arc<Edition>>>,
     announced: Arc<BTreeMap<String, u64>>,
     voters: Vec<String>,
     reader: JoinHandle<()>,
@@ -225,9 +230,8 @@
             return;
         };
         if let Some(document) = &standing.document
-            && document.version > leading.version
+            && document.version > leading.version()
         {
-            leading.version = document.version;
             if let Some(configuration) = self.gateway.read_document(document) {
                 leading.placement.configure(&configuration, Instant::now());
                 let services = configuration.services.values();
@@ -291,7 +295,7 @@
             changes: Vec::new(),
             next_notice: now,
             next_summary: now,
-            version: 0,
+            edition: watch::Sender::new(None),
             announced: Arc::default(),
             voters: Vec::new(),
             reader,
@@ -307,8 +311,7 @@
         leading.untreated = true;
         match input {
             Input::Watch(watch, responder) => {
-                let standing = self.board.standing();
-                leading.watch(watch, responder, standing.document.as_ref(), now);
+                leading.watch(watch, responder, now);
             }
             Input::Tally(tally) => leading.tally(tally, now),
             Input::Ask(ask, responder) => leading.ask(ask, responder, now),
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -6,9 +6,12 @@
     time::Duration,
 };
 
-use tokio::{sync::mpsc, time::Instant};
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
 
-use super::{Leading, Told, Watcher};
+use super::{Leading, Told, Watcher, edition::Edition};
 use crate::{
     gateway::feed::{Announcement, Counts, Document, List, Notice, Place, Tally, Upstream, Watch},
     id,
@@ -30,18 +33,12 @@
 
 impl Leading {
     /// Starts to tell a gateway what changes, with all that there is first.
-    pub(super) fn watch(
-        &mut self,
-        watch: Watch,
-        responder: Responder,
-        document: Option<&Document>,
-        now: Instant,
-    ) {
+    pub(super) fn watch(&mut self, watch: Watch, responder: Responder, now: Instant) {
         let (queue, receiver) = mpsc::channel(WATCHER_QUEUE);
-        let newer = |document: &&Document| document.version > watch.version;
         let first = Notice {
             term: self.term,
-            document: document.filter(newer).cloned(),
+            document: None,
+            patch: None,
             announced: announcements(&self.announced),
             list: (self.list.number > 0).then(|| self.list.clone()),
             places: self.placement.places(),
@@ -69,7 +66,12 @@
                 at: now,
             },
         );
-        tokio::spawn(feed(first, receiver, responder));
+        let news = News {
+            queue: receiver,
+            editions: self.edition.subscribe(),
+            known: watch.version,
+        };
+        tokio::spawn(feed(first, news, responder));
     }
 
     pub(super) fn hosts(&self) -> u32 {
@@ -203,10 +205,17 @@
     }
 
     pub(super) fn tell_document(&mut self, document: &Document) {
-        self.broadcast(&Notice {
-            document: Some(document.clone()),
-            ..Notice::default()
-        });
+        let before = self.edition.borrow().clone();
+        let edition = Edition::new(document.clone(), before.as_deref());
+        if let Some(edition) = edition {
+            self.edition.send_replace(Some(Arc::new(edition)));
+        }
+    }
+
+    /// Version of the newest configuration; zero for none.
+    pub(super) fn version(&self) -> u64 {
+        let edition = self.edition.borrow();
+        edition.as_ref().map_or(0, |edition| edition.version())
     }
 
     pub(super) fn announce(&mut self, announced: &Arc<BTreeMap<String, u64>>) {
@@ -272,14 +281,40 @@
     announced.iter().map(one).collect()
 }
 
-/// Sends a gateway what there is, then each notice as it comes.
-async fn feed(first: Notice, mut queue: mpsc::Receiver<Notice>, responder: Responder) {
+/// What one gateway is told.
+struct News {
+    queue: mpsc::Receiver<Notice>,
+    editions: watch::Receiver<Option<Arc<Edition>>>,
+    /// Version of the configuration that it has, or has been sent.
+    known: u64,
+}
+
+impl News {
+    /// The next notice; `None` when there will be none.
+    async fn next(&mut self) -> Option<Notice> {
+        loop {
+            let edition = self.editions.borrow_and_update().clone();
+            if let Some(edition) = edition.filter(|edition| edition.version() > self.known) {
+                let known = std::mem::replace(&mut self.known, edition.version());
+                return Some(edition.notice(known));
+            }
+            tokio::select! {
+                notice = self.queue.recv() => return notice,
+                changed = self.editions.changed() => changed.ok()?,
+            }
+        }
+    }
+}
+
+/// Sends a gateway what there is, then each notice as it comes. The first notice is short, since the
+/// gateway takes the leader for lost while it waits for it.
+async fn feed(first: Notice, mut news: News, responder: Responder) {
     if responder.send(Body::Notice(first)).await.is_err() {
         return;
     }
     loop {
         let notice = tokio::select! {
-            notice = queue.recv() => notice,
+            notice = news.next() => notice,
             () = responder.cancelled() => None,
         };
         let Some(notice) = notice else {
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -106,7 +106,7 @@
             others: others.get(&replica.upstream.name).copied().unwrap_or(0),
             version,
         };
-        let mut missing = Vec::new();
+        let (mut missing, mut tried) = (Vec::new(), Vec::new());
         let decisions = self.schedule.decide(now, |group, oldest, jobs| {
             let mine = |one: &&placement::Replica| one.upstream.service == group.service;
             let Some(adapter) = &group.adapter else {
@@ -118,17 +118,20 @@
             let found: Rc<[Candidate]> = usable
                 .map(|(one, version)| candidate(one, Some(version)))
                 .collect();
-            let untried = found.iter().any(|one| !oldest.tried.contains(&one.name));
-            if !untried || now > oldest.came + PRESS_AFTER {
-                missing.push((adapter.clone(), found.is_empty(), jobs));
+            if found.is_empty() {
+                missing.push((adapter.clone(), jobs));
+            } else if found.iter().all(|one| oldest.tried.contains(&one.name)) {
+                tried.push(adapter.clone());
             }
             found
         });
-        for (adapter, absent, jobs) in missing {
-            match absent {
-                true => self.placement.want(&adapter, jobs as u32, now),
-                false => self.placement.press(&adapter, now),
-            }
+        for (adapter, jobs) in missing {
+            self.placement.want(&adapter, jobs as u32, now);
+        }
+        let pressed = self.schedule.pressed(PRESS_AFTER, now);
+        let pressed = pressed.filter_map(|group| group.adapter.clone());
+        for adapter in tried.into_iter().chain(pressed) {
+            self.placement.press(&adapter, now);
         }
         for decision in decisions {
             self.tell_decision(decision, now);
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod forward;
 pub mod hub;
 pub mod orders;
+pub mod patch;
 pub mod placement;
 pub mod relay;
 pub mod schedule;
@@ -46,6 +47,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use tokio::{
     sync::{Notify, watch},
     time::Instant,
@@ -94,6 +96,7 @@
     pub draining: watch::Sender<bool>,
     view: Mutex<View>,
     budget: Mutex<Budget>,
+    text: Mutex<Option<(u64, Bytes)>>,
 }
 
 impl Gateway {
@@ -122,6 +125,7 @@
             draining: watch::Sender::new(false),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(Budget::new(budget)),
+            text: Mutex::default(),
         }
     }
 
@@ -154,14 +158,8 @@
 
     /// Reads a configuration as the log carries it; one that cannot be read is logged.
     pub fn read_document(&self, document: &feed::Document) -> Option<Configuration> {
-        let read = document::unpack(&document.text)
-            .map_err(|error| error.to_string())
-            .and_then(|text| {
-                let read = self.dialect.configuration(&text);
-                read.map_err(|error| error.to_string())
-            });
-        match read {
-            Ok(configuration) => Some(configuration),
+        match document::unpack(&document.text) {
+            Ok(text) => self.read_text(document.version, &text),
             Err(reason) => {
                 let version = document.version;
                 log::error!("event=configuration.unreadable version={version} reason={reason:?}");
@@ -170,6 +168,22 @@
         }
     }
 
+    /// Reads the text of a configuration; one that cannot be read is logged.
+    pub fn read_text(&self, version: u64, text: &Bytes) -> Option<Configuration> {
+        match self.dialect.configuration(text) {
+            Ok(configuration) => Some(configuration),
+            Err(reason) => {
+                log::error!("event=configuration.unreadable version={version} reason={reason:?}");
+                None
+            }
+        }
+    }
+
+    /// Text of the configuration in force, with its version.
+    pub fn text(&self) -> MutexGuard<'_, Option<(u64, Bytes)>> {
+        self.text.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Writes the log line of a job that an upstream answered.
     pub fn log_end(
         &self,
--- a/crates/tanagershift/src/gateway/schedule.rs
+++ b/crates/tanagershift/src/gateway/schedule.rs
@@ -103,6 +103,15 @@
     pub adapter: Option<String>,
 }
 
+/// Waiting jobs of one group.
+#[derive(Debug, Default)]
+struct Line {
+    /// Oldest first.
+    jobs: BTreeSet<Number>,
+    /// Since when some replica has had what they need, and yet some have waited.
+    busy_since: Option<Instant>,
+}
+
 impl Job {
     fn group(&self) -> Group {
         Group {
@@ -214,8 +223,8 @@
 pub struct Schedule {
     config: Config,
     waiting: BTreeMap<Number, Job>,
-    /// Waiting jobs by what they need, oldest first.
-    groups: BTreeMap<Group, BTreeSet<Number>>,
+    /// Waiting jobs by what they need.
+    groups: BTreeMap<Group, Line>,
     loads: BTreeMap<id::Upstream, Load>,
     running: BTreeMap<Number, Running>,
 }
@@ -243,8 +252,8 @@
 
     /// Adds a job.
     pub fn add(&mut self, job: Job) {
-        let jobs = self.groups.entry(job.group()).or_default();
-        jobs.insert(job.number);
+        let line = self.groups.entry(job.group()).or_default();
+        line.jobs.insert(job.number);
         self.waiting.insert(job.number, job);
     }
 
@@ -252,9 +261,9 @@
     fn remove(&mut self, number: Number) -> Option<Job> {
         let job = self.waiting.remove(&number)?;
         let group = job.group();
-        if let Some(jobs) = self.groups.get_mut(&group) {
-            jobs.remove(&number);
-            if jobs.is_empty() {
+        if let Some(line) = self.groups.get_mut(&group) {
+            line.jobs.remove(&number);
+            if line.jobs.is_empty() {
                 self.groups.remove(&group);
             }
         }
@@ -298,12 +307,17 @@
         let mut decisions = Vec::new();
         let mut order = Vec::new();
         let mut given_up = Vec::new();
-        for (group, numbers) in &self.groups {
+        for (group, line) in &mut self.groups {
+            let numbers = &line.jobs;
             let oldest = numbers.first().and_then(|number| self.waiting.get(number));
             let Some(oldest) = oldest else {
                 continue;
             };
             let found = candidates(group, oldest, numbers.len());
+            line.busy_since = match found.is_empty() {
+                true => None,
+                false => line.busy_since.or(Some(now)),
+            };
             let jobs = numbers.iter().filter_map(|number| self.waiting.get(number));
             for job in jobs {
                 if !found.is_empty() {
@@ -344,6 +358,13 @@
         decisions
     }
 
+    /// Groups whose jobs have waited for longer than a time although replicas have what they need.
+    pub fn pressed(&self, after: Duration, now: Instant) -> impl Iterator<Item = &Group> {
+        let pressed = move |line: &Line| line.busy_since.is_some_and(|since| now > since + after);
+        let lines = self.groups.iter().filter(move |(_, line)| pressed(line));
+        lines.map(|(group, _)| group)
+    }
+
     /// The candidate that would begin the job first, if any may be given it now, and its cost.
     fn choose<'a>(
         &self,
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -11,6 +11,8 @@
     configuration::{Configuration, Invalid, Kind, Limits, Route, Service, Target},
     event_stream::Splitter,
     feed::{Announcement, Counts, List, Notice, Place, Upstream},
+    forward::find_route,
+    patch::Patch,
     schedule::{self, Candidate, Decision, Job, Part, Schedule},
     view::View,
 };
@@ -91,6 +93,30 @@
         }
     }
 
+    /// Pattern: rare adapters whose loads take long. A job that has waited for its adapter alone is
+    /// sent when that has come; it does not ask for one more replica.
+    #[test]
+    fn only_a_busy_replica_presses_for_another() {
+        let mut now = Instant::now();
+        let after = Duration::from_millis(400);
+        let mut schedule = Schedule::new(schedule::Config::default());
+        schedule.add(job(1, now));
+        assert!(decide(&mut schedule, &[], now).is_empty());
+        now += after * 2;
+        assert_eq!(schedule.pressed(after, now).count(), 0);
+        let found = [candidate("r1", "a")];
+        assert_eq!(decide(&mut schedule, &found, now).len(), 1);
+        assert_eq!(schedule.pressed(after, now).count(), 0);
+        // The replica has a prompt to read, and this job must wait for it.
+        let mut long = job(2, now);
+        long.prompt = 20_000;
+        schedule.add(long);
+        assert!(decide(&mut schedule, &found, now).is_empty());
+        assert_eq!(schedule.pressed(after, now + after).count(), 0);
+        now += after + Duration::from_millis(1);
+        assert_eq!(schedule.pressed(after, now).count(), 1);
+    }
+
     /// Pattern: more requests than the replicas can begin; what is urgent and still on time goes
     /// first, what is late goes last and is refused before its caller gives up.
     #[test]
@@ -260,6 +286,50 @@
     assert!(super::document::unpack(b"not packed").is_err());
 }
 
+fn patched(old: &str, new: &str, most: usize) {
+    let patch = Patch::make(1, old.as_bytes(), 2, new.as_bytes()).unwrap();
+    assert_eq!(patch.apply(old.as_bytes()).unwrap(), new.as_bytes());
+    let size = prost::Message::encoded_len(&patch);
+    assert!(size <= most, "{size} of at most {most}");
+}
+
+/// A list of records; every one is longer than a patch's piece.
+fn listed(names: &[u32]) -> String {
+    let record =
+        |name: &u32| format!(r#"{{"name":"r{name}","host":"host{name}.example","kind":"safe"}}"#);
+    let records: Vec<String> = names.iter().map(record).collect();
+    format!(r#"{{"version":1,"routes":[{}]}}"#, records.join(","))
+}
+
+cases! { patched {
+    the_same_text_is_one_piece: (&listed(&[1, 2, 3]), &listed(&[1, 2, 3]), 40);
+    a_record_may_be_added_at_the_end: (&listed(&[1, 2, 3]), &listed(&[1, 2, 3, 4]), 140);
+    records_may_go_and_change_places: (&listed(&[1, 2, 3, 4]), &listed(&[4, 1, 3]), 140);
+    records_may_repeat: (&listed(&[1, 1, 2]), &listed(&[2, 1, 1, 1, 2, 2]), 140);
+    a_first_text_is_inserted_whole: ("", &listed(&[1]), 200);
+    a_text_may_be_emptied: (&listed(&[1]), "", 40);
+    a_text_without_records_is_inserted: ("abc", "abd", 40);
+}}
+
+#[test]
+fn a_patch_is_refused_by_another_text() {
+    let (old, new) = (listed(&[1, 2, 3]), listed(&[1, 3]));
+    let patch = Patch::make(1, old.as_bytes(), 2, new.as_bytes()).unwrap();
+    for other in [listed(&[2, 1, 3]), listed(&[1, 3]), String::new()] {
+        assert!(patch.apply(other.as_bytes()).is_err(), "{other}");
+    }
+}
+
+/// Pattern: a configuration of 1,500 routes changes in one of them, and again, while 85 gateways are
+/// told over one link.
+#[test]
+fn a_small_change_of_a_large_configuration_is_small_on_the_wire() {
+    let mut names: Vec<u32> = (0..1500).collect();
+    let old = listed(&names);
+    names[700] = 9000;
+    patched(&old, &listed(&names), 200);
+}
+
 fn route(name: &str, prefix: &str) -> Route {
     Route {
         name: name.to_owned(),
@@ -301,6 +371,21 @@
     assert_eq!(find("other.example", "/a/b/c"), None);
 }
 
+/// A gateway that has not heard of the newest configuration must not deny that a route is there.
+#[test]
+fn an_unknown_route_is_denied_only_by_the_newest_configuration() {
+    let configuration = configure(vec![route("a", "/a/")]).unwrap();
+    let request = hyper::Request::get("http://host.example/b/x").body(());
+    let (head, ()) = request.unwrap().into_parts();
+    let status = |current| {
+        find_route(&configuration, &head, current)
+            .unwrap_err()
+            .status
+    };
+    assert_eq!(status(true), hyper::StatusCode::NOT_FOUND);
+    assert_eq!(status(false), hyper::StatusCode::SERVICE_UNAVAILABLE);
+}
+
 fn refused(routes: Vec<Route>, expected: &str) {
     let error = configure(routes).unwrap_err();
     assert!(error.to_string().contains(expected), "{error}");
--- a/crates/tanagershift/src/settings.rs
+++ b/crates/tanagershift/src/settings.rs
@@ -48,6 +48,8 @@
     pub zone: id::Zone,
     /// Address for other hosts and the operators' tool.
     pub peer: SocketAddr,
+    /// Address that is bound for other hosts, where it differs from the one that they use.
+    pub listen_peer: Option<SocketAddr>,
     /// Address for metrics and health.
     pub admin: SocketAddr,
     /// File with the secret shared by hosts and operators; a public host without one is refused.
@@ -230,12 +232,15 @@
             name: require(&mut section, "name", name)?,
             zone: require(&mut section, "zone", name)?,
             peer: require(&mut section, "peer", address)?,
+            listen_peer: None,
             admin: require(&mut section, "admin", address)?,
             token_file: None,
             drain: Duration::from_secs(120),
             balancer: Duration::from_secs(2),
         };
         let path = |text: &str| ini::text(text).map(|text| Some(PathBuf::from(text)));
+        let bound = |text: &str| address(text).map(Some);
+        section.read("listen-peer", &mut host.listen_peer, bound)?;
         section.read("token-file", &mut host.token_file, path)?;
         section.read("drain", &mut host.drain, ini::duration)?;
         section.read("balancer", &mut host.balancer, ini::duration)?;
--- a/crates/tanagershift/src/tests/mod.rs
+++ b/crates/tanagershift/src/tests/mod.rs
@@ -3,5 +3,6 @@
 mod completion;
 mod event;
 mod operator;
+mod search;
 mod settings;
 mod wire;
