placement: adapters in use are not unloaded; a replica whose unload waits is left alone

Change: a retired adapter is unloaded when no request that was scheduled runs on it; while an unload waits, that replica gets no other order. Loads that had ended at the first check say nothing of the store, as they may come from the replica's memory; the best time is that of the others.

Tests: a_replica_whose_unload_waits_is_left_alone, an_adapter_in_use_is_not_unloaded, fast_loads_of_kept_adapters_do_not_make_the_store_look_slow.

--- a/crates/tanagershift/src/gateway/placement/carry.rs
+++ b/crates/tanagershift/src/gateway/placement/carry.rs
@@ -20,6 +20,8 @@
 const MODEL_CHECK: Duration = Duration::from_millis(500);
 /// Part by which the expected load time falls when a load had ended at the first check.
 const LOAD_TIME_FALL: u32 = 32;
+/// Check intervals that a load is given at least before the first check.
+const LOAD_TIME_LEAST: u32 = 2;
 /// Part of the check interval by which it rises when a load had not.
 const LOAD_TIME_RISE: u32 = 4;
 
@@ -179,15 +181,19 @@
     /// The store is slow only if a replica said so after that time: that a load ended is often heard
     /// late, when the leader is busy.
     pub(super) fn note_load_time(&mut self, at_least: Duration, at_most: Duration) {
-        match at_least.is_zero() {
-            true => self.load_time -= self.load_time / LOAD_TIME_FALL,
-            false => self.load_time += self.config.check_interval / LOAD_TIME_RISE,
+        if at_least.is_zero() {
+            let least = self.config.check_interval * LOAD_TIME_LEAST;
+            self.load_time = (self.load_time - self.load_time / LOAD_TIME_FALL).max(least);
+        } else {
+            // Others may have come from the replica's own memory, which says nothing of the store.
+            self.load_time += self.config.check_interval / LOAD_TIME_RISE;
+            let best = self.best_load_time.unwrap_or(at_most);
+            self.best_load_time = Some(best.min(at_most));
         }
-        self.best_load_time = self.best_load_time.min(at_most);
         let least = self.config.store_transit as f64;
-        let crowded = self.best_load_time.mul_f64(FULL_SPEED);
+        let crowded = self.best_load_time.map(|best| best.mul_f64(FULL_SPEED));
         let binding = self.store_transit() + 2 >= self.transit_limit as usize;
-        if at_least > crowded {
+        if crowded.is_some_and(|crowded| at_least > crowded) {
             self.transit_limit = (self.transit_limit - TRANSIT_STEP).max(least);
         } else if binding && !self.wants.is_empty() {
             self.transit_limit += TRANSIT_STEP;
@@ -240,6 +246,9 @@
 }
 
 /// The order that a replica needs next: checks that are due, then loads, then unloads.
+///
+/// A replica whose unload waits for requests to end refuses all other orders until then. So an adapter
+/// in use is not unloaded, and where that happened all the same, the replica is left alone.
 fn next_order(
     replica: &Replica,
     config: &Config,
@@ -251,10 +260,15 @@
         State::Unloading { check } if now >= check => Some(Operation::Unload),
         _ => None,
     };
-    let mut slots = replica.slots.iter();
+    let unloading = replica.is_unloading();
+    let counts = |slot: &Slot| !unloading || matches!(slot.state, State::Unloading { .. });
+    let mut slots = replica.slots.iter().filter(|(_, slot)| counts(slot));
     if let Some((adapter, operation)) = slots.find_map(|(name, slot)| Some((name, due(slot)?))) {
         return Some((operation, adapter.clone()));
     }
+    if unloading {
+        return None;
+    }
     let planned = |slot: &Slot| slot.state == State::Planned;
     let model = replica
         .models()
@@ -275,6 +289,6 @@
     }
     let retired = |slot: &Slot| matches!(slot.state, State::Retiring { unload } if now >= unload);
     let mut slots = replica.slots.iter();
-    let (adapter, _) = slots.find(|(_, slot)| retired(slot))?;
+    let (adapter, _) = slots.find(|(name, slot)| retired(slot) && !replica.is_used(name))?;
     Some((Operation::Unload, adapter.clone()))
 }
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -137,6 +137,10 @@
     pub unloading: usize,
     /// Adapters that requests wait for.
     pub wanted: usize,
+    /// Loads from the store at once.
+    pub limit: usize,
+    /// Time of a load after which it is asked for, in milliseconds.
+    pub load_ms: u128,
 }
 
 /// An adapter that requests wait for.
@@ -167,7 +171,7 @@
     /// Time after which about half of the loads from the store have ended.
     load_time: Duration,
     /// Shortest time of a load from the store that was seen.
-    best_load_time: Duration,
+    best_load_time: Option<Duration>,
     /// Adapters on their way from the store to all replicas at once.
     transit_limit: f64,
     /// When a base model may be loaded from the store next.
@@ -183,7 +187,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             load_time: config.load_time,
-            best_load_time: Duration::MAX,
+            best_load_time: None,
             transit_limit: config.store_transit as f64,
             config,
             replicas: BTreeMap::new(),
@@ -410,6 +414,8 @@
     pub fn summary(&self) -> Summary {
         let mut summary = Summary {
             wanted: self.wants.len(),
+            limit: self.transit_limit as usize,
+            load_ms: self.load_time.as_millis(),
             ..Summary::default()
         };
         for replica in self.replicas.values() {
@@ -447,13 +453,7 @@
             if !may_order {
                 return None;
             }
-            let slots = replica.slots.values();
-            let times = slots.filter_map(|slot| match slot.state {
-                State::Loading { check, .. } | State::Unloading { check } => Some(check),
-                State::Retiring { unload } => Some(unload),
-                State::Planned | State::Ready => None,
-            });
-            times.min()
+            replica.next_due()
         };
         let due = self.replicas.values().filter_map(due).min();
         let plan = self.plan_at.filter(|_| may_order);
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -196,13 +196,29 @@
         if self.upstream.draining || self.pending.is_some() || self.reporting {
             return false;
         }
-        let due = |slot: &Slot| match slot.state {
-            State::Planned => true,
-            State::Loading { check, .. } | State::Unloading { check } => now >= check,
-            State::Retiring { unload } => now >= unload,
-            State::Ready => false,
+        if self.accepted.is_none() {
+            return true;
+        }
+        let planned = self.slots.values().any(|slot| slot.state == State::Planned);
+        planned || self.next_due().is_some_and(|due| now >= due)
+    }
+
+    /// Whether an unload waits for requests to end.
+    pub fn is_unloading(&self) -> bool {
+        let waits = |slot: &Slot| matches!(slot.state, State::Unloading { .. });
+        self.slots.values().any(waits)
+    }
+
+    /// When an order is due next, if that is known.
+    pub fn next_due(&self) -> Option<Instant> {
+        let unloading = self.is_unloading();
+        let due = |(name, slot): (&Adapter, &Slot)| match slot.state {
+            State::Unloading { check } => Some(check),
+            State::Loading { check, .. } if !unloading => Some(check),
+            State::Retiring { unload } if !unloading && !self.is_used(name) => Some(unload),
+            State::Loading { .. } | State::Retiring { .. } | State::Planned | State::Ready => None,
         };
-        self.accepted.is_none() || self.slots.values().any(due)
+        self.slots.iter().filter_map(due).min()
     }
 
     /// Takes an adapter out.
--- a/crates/tanagershift/src/gateway/placement/store_tests.rs
+++ b/crates/tanagershift/src/gateway/placement/store_tests.rs
@@ -5,9 +5,10 @@
 use tokio::time::Instant;
 
 use super::{
-    Config, State,
+    Action, Config, State,
     tests::{LOAD, STEP, World},
 };
+use crate::gateway::dialect::Operation;
 
 /// Replicas and places of the larger deployment.
 const REPLICAS: usize = 60;
@@ -100,6 +101,36 @@
     assert!(mean(&waited) < second, "{:?}", mean(&waited));
 }
 
+/// Pattern: a new leader, and replicas that still keep many adapters of before, which it cannot know.
+/// Their fast loads do not make those from the store look slow.
+#[test]
+fn fast_loads_of_kept_adapters_do_not_make_the_store_look_slow() {
+    let mut world = World::new(REPLICAS, PLACES);
+    world.engines.full_speed = 40;
+    world.run(Duration::from_millis(100));
+    let second = Duration::from_secs(1);
+    world.engines.kept = (0..400).map(|number| format!("base/n{number}")).collect();
+    ask_steadily(&mut world, second / 100, second * 4, second * 2);
+    world.engines.kept.clear();
+    for number in 0..1000 {
+        world.ask(&format!("base/m{number}"), 1);
+    }
+    // Far more than the store takes at once, so that all its room is used.
+    let mut most = 0;
+    for _ in 0..200 {
+        for number in 0..1000 {
+            let adapter = format!("base/m{number}");
+            if world.homes(&adapter) == 0 {
+                world.placement.want(&adapter, 1, world.now);
+            }
+        }
+        world.now += STEP;
+        world.step();
+        most = most.max(world.engines.loading.len());
+    }
+    assert!(most >= 30, "{most} at once");
+}
+
 /// Pattern: more rare adapters than the store carries. What is on its way stays near the number at
 /// which the store is at full speed, so that each load is short.
 #[test]
@@ -121,3 +152,56 @@
     let slots = replicas.flat_map(|one| one.slots.values());
     assert!(slots.filter(|slot| loading(&slot.state)).count() <= 60);
 }
+
+/// Pattern: a new leader, which does not know on which adapters requests run. An unload that waits for
+/// them keeps the replica from other orders; none is wasted on it, and none is refused.
+#[test]
+fn a_replica_whose_unload_waits_is_left_alone() {
+    let mut world = World::new(1, 2);
+    world.run(Duration::from_millis(100));
+    let used = ("r00".to_owned(), "base/used".to_owned());
+    world.placement.want(&used.1, 1, world.now);
+    world.engines.used.push(used.clone());
+    world.run(Duration::from_secs(3));
+    world.placement.want("base/a", 1, world.now);
+    world.ask("base/a", 50);
+    world.run(Duration::from_secs(3));
+    let before = world.engines.orders.len();
+    world.placement.want("base/b", 1, world.now);
+    world.run(Duration::from_millis(250));
+    let waits = world.engines.waits.contains_key("r00");
+    assert!(waits, "{:?}", world.placement.summary());
+    let orders = &world.engines.orders[before..];
+    let others = orders.iter().filter(|order| match order {
+        Action::Order { adapter, .. } => *adapter != used.1,
+        Action::Report { .. } => true,
+    });
+    assert_eq!(others.count(), 0, "{orders:?}");
+    world.engines.used.clear();
+    world.placement.want("base/b", 1, world.now);
+    world.run(Duration::from_millis(600));
+    assert_eq!(world.homes("base/b"), 1);
+}
+
+/// Pattern: more adapters in use than there are places. One that is given up is unloaded when its last
+/// request has ended, not before.
+#[test]
+fn an_adapter_in_use_is_not_unloaded() {
+    let mut world = World::new(1, 2);
+    world.run(Duration::from_millis(100));
+    for adapter in ["base/a", "base/b"] {
+        world.placement.want(adapter, 1, world.now);
+        world.run(Duration::from_millis(600));
+        world.placement.count_use("r00", adapter, true);
+    }
+    world.run(Duration::from_secs(3));
+    let unload = |order: &Action| match order {
+        Action::Order { operation, .. } => *operation == Operation::Unload,
+        Action::Report { .. } => false,
+    };
+    assert!(!world.engines.orders.iter().any(unload));
+    world.placement.count_use("r00", "base/a", false);
+    world.placement.count_use("r00", "base/b", false);
+    world.run(Duration::from_secs(1));
+    assert!(world.engines.orders.iter().any(unload));
+}
--- a/crates/tanagershift/src/gateway/placement/tests.rs
+++ b/crates/tanagershift/src/gateway/placement/tests.rs
@@ -27,9 +27,13 @@
     pub(super) loading: BTreeMap<(String, String), Duration>,
     pub(super) loaded: BTreeMap<(String, String), u64>,
     /// Adapters on which requests run.
-    used: Vec<(String, String)>,
-    orders: Vec<Action>,
+    pub(super) used: Vec<(String, String)>,
+    /// Adapter whose unload a replica has accepted and that requests still use.
+    pub(super) waits: BTreeMap<String, String>,
+    pub(super) orders: Vec<Action>,
     most_in_transit: usize,
+    /// Adapters that load ten times as fast, since the replicas still have them.
+    pub(super) kept: Vec<String>,
     /// Loads at once up to which the store is at full speed; zero for any number.
     pub(super) full_speed: usize,
 }
@@ -220,13 +224,29 @@
         match operation {
             Operation::Load if self.loaded.contains_key(&key) => Ordered::Holds,
             Operation::Load if self.loading.contains_key(&key) => Ordered::Accepted,
+            Operation::Unload if self.waits.get(replica) == Some(&key.1) => {
+                if !self.used.contains(&key) {
+                    self.waits.remove(replica);
+                    self.loaded.remove(&key);
+                    return Ordered::Holds;
+                }
+                Ordered::Accepted
+            }
             _ if expect != *accepted => Ordered::Conflict,
+            Operation::Load if self.waits.contains_key(replica) => Ordered::Conflict,
             Operation::Load => {
                 *accepted += 1;
-                self.loading.insert(key, LOAD);
+                let fast = self.kept.contains(&key.1);
+                let time = if fast { LOAD / 10 } else { LOAD };
+                self.loading.insert(key, time);
+                Ordered::Accepted
+            }
+            Operation::Unload if self.waits.contains_key(replica) => Ordered::Conflict,
+            Operation::Unload if self.used.contains(&key) => {
+                self.waits.insert(replica.to_owned(), key.1);
+                *accepted += 1;
                 Ordered::Accepted
             }
-            Operation::Unload if self.used.contains(&key) => Ordered::Accepted,
             Operation::Unload => {
                 *accepted += 1;
                 self.loaded.remove(&key);
--- a/crates/tanagershift/src/tests/search.rs
+++ b/crates/tanagershift/src/tests/search.rs
@@ -40,7 +40,10 @@
         count.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             sleep(Duration::from_millis(600)).await;
-            responder.finish(Body::Report(Default::default())).await.ok();
+            responder
+                .finish(Body::Report(Default::default()))
+                .await
+                .ok();
         });
     };
     tokio::spawn(link::serve(listener, greeting("leader"), slow));
