schedule: hopeless requests are refused at once, the leader's turns are bounded, the pace is learned

(1) With 1,100 requests waiting, the leader's turns took its processor; its heartbeats came late and a voter was elected in its place 8 s after the last fault, which stopped all loads for 3.2 s. (2) Requests for an adapter behind 600 others waited 2.8 s to be refused. (3) 29 to 47% of the streams paused for more than 300 ms: 15 prompt tokens a millisecond were given whatever the replicas read.

A turn is followed by a pause of twice its time. A request whose adapter nobody wants yet is refused at once if the line for the store is longer than its caller waits. The pace of each service follows the streams that paused beyond their route's objective and the requests that were late for waiting at busy replicas; gateways tell both.

Tests: a_line_for_the_store_that_is_too_long_is_known, the_pace_follows_what_callers_see.

--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -51,6 +51,8 @@
     pub attempts: u32,
     /// Whether a stream may go on at another replica.
     pub resumable: bool,
+    /// Longest pause between two events of a stream that is still on time.
+    pub pause: Option<Duration>,
 }
 
 impl Route {
--- a/crates/tanagershift/src/gateway/feed.rs
+++ b/crates/tanagershift/src/gateway/feed.rs
@@ -171,6 +171,24 @@
     /// Places that a replica says it does not have.
     #[prost(message, repeated, tag = "5")]
     pub missing: Vec<Place>,
+    /// Streams that have ended.
+    #[prost(message, repeated, tag = "6")]
+    pub streams: Vec<Streams>,
+}
+
+/// Streams of one service that have ended.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Streams {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// How many came to their end.
+    #[prost(uint32, tag = "2")]
+    pub ended: u32,
+    /// How many of them paused for longer than their objective.
+    #[prost(uint32, tag = "3")]
+    pub paused: u32,
 }
 
 /// Requests for one adapter.
--- a/crates/tanagershift/src/gateway/follow.rs
+++ b/crates/tanagershift/src/gateway/follow.rs
@@ -173,6 +173,7 @@
                     open: Some(view.tell_open()),
                     demand: view.take_demand(),
                     missing: view.take_missing(),
+                    streams: self.gateway.take_streams(),
                 }
             };
             self.gateway.leader.tell(Body::Tally(tally)).await;
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -42,6 +42,9 @@
 const QUEUE: usize = 4096;
 /// Shortest time between two times at which inputs are acted on; it bounds the leader's work.
 const TURN_INTERVAL: Duration = Duration::from_millis(4);
+/// Pause after a turn, as a multiple of the time that it took: messages, heartbeats and the log need the
+/// rest of the processor, however many requests wait.
+const TURN_PAUSE: u32 = 2;
 /// Allowance for clocks that run apart when an earlier leader's last order is waited out.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 /// Time after an announcement in which the leader still sends requests to the older version, as a share
@@ -338,7 +341,6 @@
         if now < leading.next_turn {
             return;
         }
-        leading.next_turn = now + TURN_INTERVAL;
         leading.untreated = false;
         leading.sweep(now);
         leading.decide(now);
@@ -352,6 +354,9 @@
         if now >= leading.next_notice {
             leading.tell_all(now);
         }
+        let ended = Instant::now();
+        let pause = (ended - now) * TURN_PAUSE;
+        leading.next_turn = (now + TURN_INTERVAL).max(ended + pause);
     }
 }
 
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -100,6 +100,9 @@
             );
             self.placement.missing(&place.replica, &place.adapter, now);
         }
+        for streams in &tally.streams {
+            self.schedule.count_streams(streams, now);
+        }
         let told = self.told.entry(tally.host).or_insert_with(|| Told {
             session: tally.session,
             open: Counts::default(),
@@ -189,11 +192,12 @@
         if now >= self.next_summary {
             self.next_summary = now + SUMMARY_INTERVAL;
             log::info!(
-                "event=hub.summary term={} hosts={} waiting={} open={} {:?}",
+                "event=hub.summary term={} hosts={} waiting={} open={} paces={:.1?} {:?}",
                 self.term,
                 self.told.len(),
                 self.schedule.waiting(),
                 self.asked.len(),
+                self.schedule.rates(),
                 self.placement.summary()
             );
         }
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -25,8 +25,6 @@
 impl Leading {
     /// Puts a request for a replica in the queue.
     pub(super) fn ask(&mut self, ask: Ask, responder: Responder, now: Instant) {
-        let number = self.next_number;
-        self.next_number += 1;
         let adapter = (!ask.adapter.is_empty()).then_some(ask.adapter);
         let demand = Demand {
             adapter: adapter.clone().unwrap_or_else(|| ask.model.clone()),
@@ -34,6 +32,25 @@
             waiting: 0,
         };
         self.placement.demand(&[demand], now);
+        let wait = adapter.as_ref();
+        let wait = wait.and_then(|adapter| self.placement.load_wait(adapter));
+        if let Some(wait) = wait.filter(|wait| *wait > Duration::from_millis(ask.give_up_ms)) {
+            log::info!(
+                "event=schedule.hopeless request={} load_wait_ms={} give_up_ms={} waiting={}",
+                ask.request,
+                wait.as_millis(),
+                ask.give_up_ms,
+                self.asked.len()
+            );
+            responder.finish_now(Body::Grant(Grant {
+                retry_after_ms: RETRY_AFTER.as_millis() as u64,
+                reason: "its adapter cannot be loaded in time".to_owned(),
+                ..Grant::default()
+            }));
+            return;
+        }
+        let number = self.next_number;
+        self.next_number += 1;
         let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
         let objective = match ask.objective_ms >= 0 {
             true => now + objective,
@@ -133,6 +150,7 @@
         for adapter in tried.into_iter().chain(pressed) {
             self.placement.press(&adapter, now);
         }
+        self.schedule.adapt(now);
         for decision in decisions {
             self.tell_decision(decision, now);
         }
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod forward;
 pub mod hub;
 pub mod orders;
+pub mod pace;
 pub mod patch;
 pub mod placement;
 pub mod relay;
@@ -43,6 +44,7 @@
 pub mod view;
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -97,6 +99,7 @@
     view: Mutex<View>,
     budget: Mutex<Budget>,
     text: Mutex<Option<(u64, Bytes)>>,
+    streams: Mutex<BTreeMap<String, feed::Streams>>,
 }
 
 impl Gateway {
@@ -126,6 +129,7 @@
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(Budget::new(budget)),
             text: Mutex::default(),
+            streams: Mutex::default(),
         }
     }
 
@@ -179,6 +183,24 @@
         }
     }
 
+    /// Counts a stream of a service that has ended; `paused` says whether it paused for too long.
+    pub fn count_stream(&self, service: &str, paused: bool) {
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = streams.entry(service.to_owned());
+        let counts = entry.or_insert_with(|| feed::Streams {
+            service: service.to_owned(),
+            ..feed::Streams::default()
+        });
+        counts.ended += 1;
+        counts.paused += u32::from(paused);
+    }
+
+    /// Takes the streams out that have ended since the last call.
+    pub fn take_streams(&self) -> Vec<feed::Streams> {
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *streams).into_values().collect()
+    }
+
     /// Text of the configuration in force, with its version.
     pub fn text(&self) -> MutexGuard<'_, Option<(u64, Bytes)>> {
         self.text.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/tanagershift/src/gateway/placement/carry.rs
+++ b/crates/tanagershift/src/gateway/placement/carry.rs
@@ -190,7 +190,7 @@
             let best = self.best_load_time.unwrap_or(at_most);
             self.best_load_time = Some(best.min(at_most));
         }
-        let least = self.config.store_transit as f64;
+        let least = self.config.store_transit_least as f64;
         let crowded = self.best_load_time.map(|best| best.mul_f64(FULL_SPEED));
         let binding = self.store_transit() + 2 >= self.transit_limit as usize;
         if crowded.is_some_and(|crowded| at_least > crowded) {
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -39,9 +39,11 @@
 pub struct Config {
     /// Adapters on their way to one replica at once; the engines' published limit.
     pub replica_transit: usize,
-    /// Adapters on their way from the store to all replicas at once, at least; more follow while loads
-    /// stay fast. Where the store is at full speed with fewer, as many end in a second.
+    /// Adapters on their way from the store to all replicas at once, at first; more or fewer follow as
+    /// loads are fast or slow.
     pub store_transit: usize,
+    /// The fewest to which that number falls.
+    pub store_transit_least: usize,
     /// Places of each replica that are kept free.
     pub spare: usize,
     /// Part of a replica's slots that one adapter's requests should fill before it gets another.
@@ -62,7 +64,8 @@
     fn default() -> Self {
         Self {
             replica_transit: 4,
-            store_transit: 8,
+            store_transit: 20,
+            store_transit_least: 8,
             spare: 2,
             home_share: 0.1,
             retire_delay: Duration::from_millis(250),
@@ -298,6 +301,21 @@
         self.plan_at = self.planned_at.map(|last| last + PLAN_PAUSE);
     }
 
+    /// Time after which an adapter that nobody has asked for would be loaded; `None` if some replica
+    /// has it or will, or it is wanted already.
+    ///
+    /// Loads end at the rate at which the store carries them out, those wanted before come first.
+    pub fn load_wait(&self, adapter: &str) -> Option<Duration> {
+        let coming = |one: &Replica| one.slots.contains_key(adapter);
+        let known = self.index.contains_key(adapter) || self.wants.contains_key(adapter);
+        if is_model(adapter) || known || self.replicas.values().any(coming) {
+            return None;
+        }
+        let ahead = self.wants.len() + self.store_transit();
+        let rounds = ahead as f64 / self.transit_limit.max(1.0);
+        Some(self.load_time.mul_f64(rounds + 1.0))
+    }
+
     /// Takes the open requests of all gateways at a replica.
     pub fn set_open(&mut self, replica: &str, open: u32) {
         if let Some(replica) = self.replicas.get_mut(replica) {
--- a/crates/tanagershift/src/gateway/placement/store_tests.rs
+++ b/crates/tanagershift/src/gateway/placement/store_tests.rs
@@ -131,6 +131,27 @@
     assert!(most >= 30, "{most} at once");
 }
 
+/// Pattern: many rare adapters at once. Who would have to wait for longer than a caller does is known
+/// at once; who is known already, or asks while the store has room, is not turned away.
+#[test]
+fn a_line_for_the_store_that_is_too_long_is_known() {
+    let mut world = World::new(REPLICAS, PLACES);
+    world.run(Duration::from_millis(100));
+    let patience = Duration::from_millis(2800);
+    let wait = |world: &World| world.placement.load_wait("base/new");
+    assert!(wait(&world).unwrap() < patience / 4);
+    for number in 0..600 {
+        world
+            .placement
+            .want(&format!("base/n{number}"), 1, world.now);
+    }
+    assert!(wait(&world).unwrap() > patience);
+    assert_eq!(world.placement.load_wait("base/n7"), None);
+    world.run(Duration::from_millis(200));
+    let loading = world.engines.loading.keys().next().unwrap().1.clone();
+    assert_eq!(world.placement.load_wait(&loading), None);
+}
+
 /// Pattern: more rare adapters than the store carries. What is on its way stays near the number at
 /// which the store is at full speed, so that each load is short.
 #[test]
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -246,6 +246,11 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
+        if self.outcome == "complete" {
+            let objective = self.job.route.pause;
+            let paused = objective.is_some_and(|most| self.progress.longest_pause > most);
+            self.gateway.count_stream(&self.job.service, paused);
+        }
         let verdict = match self.outcome {
             "complete" => Verdict::Ran,
             _ => Verdict::MayHaveRun,
--- a/crates/tanagershift/src/gateway/schedule.rs
+++ b/crates/tanagershift/src/gateway/schedule.rs
@@ -13,6 +13,7 @@
 
 use tokio::time::Instant;
 
+use super::{feed::Streams, pace::Pace};
 use crate::id;
 
 /// Number of a request at the leader.
@@ -21,10 +22,6 @@
 /// Limits of the pacing.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// Prompt tokens that a replica may have to read at once.
-    pub burst: f64,
-    /// Prompt tokens that a replica reads in a millisecond beside its other work.
-    pub rate: f64,
     /// Part of a replica's memory for tokens that is given out.
     pub memory_share: f64,
     /// Part of a replica's slots that is given out.
@@ -36,8 +33,6 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            burst: 1600.0,
-            rate: 15.0,
             memory_share: 0.9,
             slot_share: 0.95,
             prefix_life: Duration::from_secs(15),
@@ -49,6 +44,8 @@
 const ZONE_COST: f64 = 15.0;
 /// Milliseconds of waiting that a full replica costs against an empty one.
 const FILL_COST: f64 = 60.0;
+/// Time after which a job that still waits at busy replicas is late because of them.
+const BUSY_TIME: Duration = Duration::from_millis(100);
 /// Parts of prompts that are remembered for each replica.
 const PARTS: usize = 4096;
 
@@ -226,6 +223,8 @@
     /// Waiting jobs by what they need.
     groups: BTreeMap<Group, Line>,
     loads: BTreeMap<id::Upstream, Load>,
+    /// How fast the replicas of each service are given prompts.
+    paces: BTreeMap<String, Pace>,
     running: BTreeMap<Number, Running>,
 }
 
@@ -246,10 +245,34 @@
             waiting: BTreeMap::new(),
             groups: BTreeMap::new(),
             loads: BTreeMap::new(),
+            paces: BTreeMap::new(),
             running: BTreeMap::new(),
         }
     }
 
+    /// Takes streams of a service that have ended.
+    pub fn count_streams(&mut self, streams: &Streams, now: Instant) {
+        let pace = self.pace(&streams.service, now);
+        pace.streams(streams.ended, streams.paused);
+    }
+
+    fn pace(&mut self, service: &str, now: Instant) -> &mut Pace {
+        let entry = self.paces.entry(service.to_owned());
+        entry.or_insert_with(|| Pace::new(now))
+    }
+
+    /// Lets the paces follow what was seen.
+    pub fn adapt(&mut self, now: Instant) {
+        for pace in self.paces.values_mut() {
+            pace.adapt(now);
+        }
+    }
+
+    /// Prompt tokens a millisecond that each service's replicas are given, for the log.
+    pub fn rates(&self) -> Vec<f64> {
+        self.paces.values().map(Pace::rate).collect()
+    }
+
     /// Adds a job.
     pub fn add(&mut self, job: Job) {
         let line = self.groups.entry(job.group()).or_default();
@@ -304,6 +327,7 @@
         now: Instant,
         mut candidates: impl FnMut(&Group, &Job, usize) -> Rc<[Candidate]>,
     ) -> Vec<Decision> {
+        let fresh = Pace::new(now);
         let mut decisions = Vec::new();
         let mut order = Vec::new();
         let mut given_up = Vec::new();
@@ -323,7 +347,8 @@
                 if !found.is_empty() {
                     let late = now > job.objective;
                     let rank = (late, job.priority, job.objective, job.number);
-                    order.push((rank, found.clone()));
+                    let busy = line.busy_since.is_some_and(|since| now > since + BUSY_TIME);
+                    order.push((rank, found.clone(), late && busy));
                 } else if now >= job.give_up {
                     given_up.push(job.number);
                 }
@@ -333,13 +358,18 @@
             self.remove(number);
             decisions.push(Decision::Refuse { number, holders: 0 });
         }
-        order.sort_by_key(|(rank, _)| *rank);
-        for ((_, _, _, number), found) in order {
+        order.sort_by_key(|(rank, _, _)| *rank);
+        for ((_, _, _, number), found, delayed) in order {
             let Some(job) = self.waiting.get(&number) else {
                 continue;
             };
-            if let Some((cost, chosen)) = self.choose(job, &found, now) {
+            let pace = *self.paces.get(&job.service).unwrap_or(&fresh);
+            let service = delayed.then(|| job.service.clone());
+            if let Some((cost, chosen)) = self.choose(job, &found, &pace, now) {
                 let adapter = job.adapter.clone();
+                if let Some(service) = service {
+                    self.pace(&service, now).late();
+                }
                 self.give(number, &chosen.name, now);
                 decisions.push(Decision::Send {
                     number,
@@ -350,6 +380,9 @@
                     holders: found.len(),
                 });
             } else if now >= job.give_up {
+                if let Some(service) = service {
+                    self.pace(&service, now).late();
+                }
                 self.remove(number);
                 let holders = found.len();
                 decisions.push(Decision::Refuse { number, holders });
@@ -370,19 +403,20 @@
         &self,
         job: &Job,
         candidates: &'a [Candidate],
+        pace: &Pace,
         now: Instant,
     ) -> Option<(f64, &'a Candidate)> {
         let untried = candidates
             .iter()
             .filter(|one| !job.tried.contains(&one.name));
         untried
-            .filter_map(|candidate| Some((self.cost(job, candidate, now)?, candidate)))
+            .filter_map(|candidate| Some((self.cost(job, candidate, pace, now)?, candidate)))
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
     /// Milliseconds until a replica would have read a job's prompt, and what else counts against
     /// it; `None` while it may not be given the job.
-    fn cost(&self, job: &Job, candidate: &Candidate, now: Instant) -> Option<f64> {
+    fn cost(&self, job: &Job, candidate: &Candidate, pace: &Pace, now: Instant) -> Option<f64> {
         let fresh = Load::new(now);
         let load = self.loads.get(&candidate.name).unwrap_or(&fresh);
         let open = candidate.others + load.jobs.len() as u32;
@@ -397,8 +431,8 @@
             return None;
         }
         let unread = f64::from(load.unread(job, self.config.prefix_life, now));
-        let backlog = load.backlog(self.config.rate, now);
-        if backlog > 0.0 && backlog + unread > self.config.burst {
+        let backlog = load.backlog(pace.rate(), now);
+        if backlog > 0.0 && backlog + unread > pace.burst() {
             return None;
         }
         let zone = if candidate.zone == job.zone {
@@ -407,14 +441,14 @@
             ZONE_COST
         };
         let fill = f64::from(open) / slots * FILL_COST;
-        Some((backlog + unread) / self.config.rate + zone + fill)
+        Some((backlog + unread) / pace.rate() + zone + fill)
     }
 
     fn give(&mut self, number: Number, replica: &str, now: Instant) {
         let Some(job) = self.remove(number) else {
             return;
         };
-        let (rate, life) = (self.config.rate, self.config.prefix_life);
+        let (rate, life) = (self.pace(&job.service, now).rate(), self.config.prefix_life);
         let load = self
             .loads
             .entry(replica.to_owned())
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -12,6 +12,7 @@
     event_stream::Splitter,
     feed::{Announcement, Counts, List, Notice, Place, Upstream},
     forward::find_route,
+    pace::Pace,
     patch::Patch,
     schedule::{self, Candidate, Decision, Job, Part, Schedule},
     view::View,
@@ -93,6 +94,37 @@
         }
     }
 
+    /// Pattern: a burst on engines that read slower than expected. Streams pause, and fewer prompts are
+    /// given at once; when none pause and requests wait instead, more are given again.
+    #[test]
+    fn the_pace_follows_what_callers_see() {
+        let mut now = Instant::now();
+        let mut pace = Pace::new(now);
+        let start = pace.rate();
+        for _ in 0..10 {
+            now += Duration::from_millis(500);
+            pace.streams(100, 30);
+            pace.adapt(now);
+        }
+        let slow = pace.rate();
+        assert!(slow < start * 0.75, "{slow}");
+        for _ in 0..10 {
+            now += Duration::from_millis(500);
+            pace.streams(100, 1);
+            (0..30).for_each(|_| pace.late());
+            pace.adapt(now);
+        }
+        assert!(pace.rate() > slow * 1.2, "{}", pace.rate());
+        // A few of either change nothing, and neither does too little to tell.
+        let kept = pace.rate();
+        for (ended, paused) in [(100, 2), (5, 5)] {
+            now += Duration::from_millis(500);
+            pace.streams(ended, paused);
+            pace.adapt(now);
+        }
+        assert_eq!(pace.rate(), kept);
+    }
+
     /// Pattern: rare adapters whose loads take long. A job that has waited for its adapter alone is
     /// sent when that has come; it does not ask for one more replica.
     #[test]
@@ -345,6 +377,7 @@
         }],
         attempts: 2,
         resumable: false,
+        pause: None,
     }
 }
 
