links: silent connections are probed; placement: silence before orders counts, pressing uses room

A proxy held their connection to it open, took every byte and carried none, so neither an acknowledgement nor a reset was missing; every search used the same connection again. A connection on which the peer owes a frame is probed after 500 ms now and given up after three probes.

Changes: the silence counts as waiting; pressing uses the store's room when nothing is wanted; the limit begins at two thirds of the replicas if that is more.

Files of the placement, of the schedule's tests and of the test site are split by concern.

--- a/crates/tanagershift/src/daemon.rs
+++ b/crates/tanagershift/src/daemon.rs
@@ -214,6 +214,7 @@
             | Body::End(_)
             | Body::Failed(_)
             | Body::Cancel(_)
+            | Body::Probe(_)
             | Body::Redirect(_)
             | Body::Report(_)
             | Body::Watch(_)
--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -81,6 +81,8 @@
     FRAME_INVALID = 602, Warn;
     /// A frame for an ended stream was dropped.
     FRAME_DROPPED = 603, Debug;
+    /// A peer answers nothing on an open connection.
+    LINK_SILENT = 604, Warn;
 }
 
 /// Writes an event with its number to the log.
--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -23,7 +23,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a notice after which gateways decide for themselves.
 const LEADER_SILENT: Duration = Duration::from_millis(450);
-/// Objectives after which callers give a stream up that has not begun; a refusal comes before.
+/// Objectives after which a request that has not begun is refused. Callers give a stream up after four
+/// without an event; late service is still worth something to them, so a refusal comes shortly before.
 const GIVE_UP_OBJECTIVES: f64 = 2.8;
 /// Part of an objective that reading the prompt and the way to the caller take.
 const OBJECTIVE_MARGIN: f64 = 0.25;
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -23,68 +23,51 @@
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
 
 impl Leading {
-    /// Puts a request for a replica in the queue.
+    /// Puts a request for a replica in the queue, unless it is known that none can serve it in time.
     pub(super) fn ask(&mut self, ask: Ask, responder: Responder, now: Instant) {
-        let adapter = (!ask.adapter.is_empty()).then_some(ask.adapter);
+        let wanted = if ask.adapter.is_empty() {
+            &ask.model
+        } else {
+            &ask.adapter
+        };
         let demand = Demand {
-            adapter: adapter.clone().unwrap_or_else(|| ask.model.clone()),
+            adapter: wanted.clone(),
             came: 1,
             waiting: 0,
         };
         self.placement.demand(&[demand], now);
-        let wait = adapter.as_ref();
-        let wait = wait.and_then(|adapter| self.placement.load_wait(adapter));
-        if let Some(wait) = wait.filter(|wait| *wait > Duration::from_millis(ask.give_up_ms)) {
-            log::info!(
-                "event=schedule.hopeless request={} load_wait_ms={} give_up_ms={} waiting={}",
-                ask.request,
-                wait.as_millis(),
-                ask.give_up_ms,
-                self.asked.len()
-            );
-            responder.finish_now(Body::Grant(Grant {
-                retry_after_ms: RETRY_AFTER.as_millis() as u64,
-                reason: "its adapter cannot be loaded in time".to_owned(),
-                ..Grant::default()
-            }));
+        let patience = Duration::from_millis(ask.give_up_ms);
+        let wait = self.placement.load_wait(wanted, self.orders_from, now);
+        if let Some(wait) = wait.filter(|wait| *wait > patience) {
+            self.refuse_hopeless(&ask, wait, responder);
             return;
         }
         let number = self.next_number;
         self.next_number += 1;
-        let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
-        let objective = match ask.objective_ms >= 0 {
-            true => now + objective,
-            false => now.checked_sub(objective).unwrap_or(now),
-        };
-        let parts = ask.digests.iter().zip(&ask.tokens);
-        self.schedule.add(Job {
-            number,
-            service: ask.service,
-            model: ask.model,
-            adapter,
-            zone: ask.zone,
-            prompt: ask.prompt,
-            output: ask.output,
-            parts: parts
-                .map(|(digest, tokens)| Part {
-                    digest: *digest,
-                    tokens: *tokens,
-                })
-                .collect(),
-            priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
+        let asked = Asked {
+            request: ask.request.clone(),
+            responder,
             came: now,
-            objective,
-            give_up: now + Duration::from_millis(ask.give_up_ms),
-            tried: ask.tried,
-        });
-        self.asked.insert(
-            number,
-            Asked {
-                request: ask.request,
-                responder,
-                came: now,
-            },
+        };
+        self.asked.insert(number, asked);
+        self.schedule.add(job(number, ask, now));
+    }
+
+    /// Refuses a request whose adapter would come after its caller has given up; it may come back when
+    /// the line has moved on.
+    fn refuse_hopeless(&self, ask: &Ask, wait: Duration, responder: Responder) {
+        log::info!(
+            "event=schedule.hopeless request={} load_wait_ms={} give_up_ms={} waiting={}",
+            ask.request,
+            wait.as_millis(),
+            ask.give_up_ms,
+            self.asked.len()
         );
+        responder.finish_now(Body::Grant(Grant {
+            retry_after_ms: wait.max(RETRY_AFTER).as_millis() as u64,
+            reason: "its adapter cannot be loaded in time".to_owned(),
+            ..Grant::default()
+        }));
     }
 
     /// Forgets requests that have ended.
@@ -209,3 +192,32 @@
         }
     }
 }
+
+/// What the schedule must know of a request.
+fn job(number: Number, ask: Ask, now: Instant) -> Job {
+    let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
+    let objective = match ask.objective_ms >= 0 {
+        true => now + objective,
+        false => now.checked_sub(objective).unwrap_or(now),
+    };
+    let parts = ask.digests.iter().zip(&ask.tokens);
+    let part = |(digest, tokens): (&u64, &u32)| Part {
+        digest: *digest,
+        tokens: *tokens,
+    };
+    Job {
+        number,
+        parts: parts.map(part).collect(),
+        service: ask.service,
+        model: ask.model,
+        adapter: (!ask.adapter.is_empty()).then_some(ask.adapter),
+        zone: ask.zone,
+        prompt: ask.prompt,
+        output: ask.output,
+        priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
+        came: now,
+        objective,
+        give_up: now + Duration::from_millis(ask.give_up_ms),
+        tried: ask.tried,
+    }
+}
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -37,6 +37,8 @@
 pub mod placement;
 pub mod relay;
 pub mod schedule;
+#[cfg(test)]
+mod schedule_tests;
 pub mod server;
 pub mod settings;
 #[cfg(test)]
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -8,6 +8,7 @@
 //! * `replica`: one replica's places.
 //! * `plan`: which loads are decided, and which places are given up.
 //! * `carry`: orders, and what their answers mean.
+//! * `wants`: adapters that no replica has, or too few.
 
 mod carry;
 mod plan;
@@ -16,6 +17,7 @@
 mod store_tests;
 #[cfg(test)]
 mod tests;
+mod wants;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -30,7 +32,7 @@
 use super::{
     configuration::Configuration,
     dialect::Operation,
-    feed::{Demand, Place, Upstream},
+    feed::{Place, Upstream},
 };
 use crate::{heat::Heat, id};
 
@@ -90,6 +92,9 @@
 const MIN_STAY: Duration = Duration::from_millis(1500);
 /// Shortest time between two decisions on loads; small beside the time of a load.
 const PLAN_PAUSE: Duration = Duration::from_millis(15);
+/// Loads at once for each replica at first, where that is more than the setting: a store is sized to
+/// the fleet that it feeds.
+const STORE_SHARE: f64 = 0.66;
 /// Time between two decisions on loads when no request waits.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -254,69 +259,14 @@
             }
             self.replicas.insert(upstream.name.clone(), replica);
         }
+        if self.listed.is_empty() {
+            let fleet = self.replicas.len() as f64 * STORE_SHARE;
+            self.transit_limit = self.transit_limit.max(fleet);
+        }
         self.listed = upstreams.to_vec();
         self.size_replicas();
     }
 
-    /// Takes what one gateway has counted.
-    pub fn demand(&mut self, demand: &[Demand], now: Instant) {
-        for one in demand {
-            if one.came > 0 {
-                self.models
-                    .add(&model_of(&one.adapter).to_owned(), one.came, now);
-                if is_model(&one.adapter) {
-                    continue;
-                }
-                self.hot.add(&one.adapter, one.came, now);
-                self.keep.add(&one.adapter, one.came, now);
-                self.total.add(&(), one.came, now);
-            }
-            if one.waiting > 0 {
-                self.want(&one.adapter, one.waiting, now);
-            }
-        }
-    }
-
-    /// Takes note that requests wait for an adapter that no replica has.
-    pub fn want(&mut self, adapter: &str, jobs: u32, now: Instant) {
-        if is_model(adapter) {
-            return;
-        }
-        if let Some(want) = self.wants.get_mut(adapter) {
-            want.heard = now;
-            want.jobs = jobs;
-            return;
-        }
-        let want = Want {
-            since: now,
-            heard: now,
-            jobs,
-        };
-        self.wants.insert(adapter.to_owned(), want);
-        self.plan_soon();
-    }
-
-    /// Lets loads be decided as soon as the last decision is old enough; deciding looks at every
-    /// place, and many at once cost the leader less than each by itself.
-    fn plan_soon(&mut self) {
-        self.plan_at = self.planned_at.map(|last| last + PLAN_PAUSE);
-    }
-
-    /// Time after which an adapter that nobody has asked for would be loaded; `None` if some replica
-    /// has it or will, or it is wanted already.
-    ///
-    /// Loads end at the rate at which the store carries them out, those wanted before come first.
-    pub fn load_wait(&self, adapter: &str) -> Option<Duration> {
-        let coming = |one: &Replica| one.slots.contains_key(adapter);
-        let known = self.index.contains_key(adapter) || self.wants.contains_key(adapter);
-        if is_model(adapter) || known || self.replicas.values().any(coming) {
-            return None;
-        }
-        let ahead = self.wants.len() + self.store_transit();
-        let rounds = ahead as f64 / self.transit_limit.max(1.0);
-        Some(self.load_time.mul_f64(rounds + 1.0))
-    }
-
     /// Takes the open requests of all gateways at a replica.
     pub fn set_open(&mut self, replica: &str, open: u32) {
         if let Some(replica) = self.replicas.get_mut(replica) {
@@ -415,20 +365,6 @@
         replicas.filter(move |one| !one.upstream.draining && one.holds(model))
     }
 
-    /// Takes note that requests wait for an adapter although some replicas have it, since these
-    /// are busy; one more replica gets it unless one is on its way.
-    pub fn press(&mut self, adapter: &str, now: Instant) {
-        let coming = |replica: &Replica| {
-            let slot = replica.slots.get(adapter);
-            slot.is_some_and(|slot| matches!(slot.state, State::Planned | State::Loading { .. }))
-        };
-        let busy = self.store_transit() * 2 > self.transit_limit as usize;
-        if !busy && !self.replicas.values().any(coming) {
-            let mut expected = self.expected_work(now);
-            self.plan(adapter, &mut expected, now);
-        }
-    }
-
     /// How many places are in which state, over all replicas.
     pub fn summary(&self) -> Summary {
         let mut summary = Summary {
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -25,11 +25,17 @@
     emit,
     gateway::connection,
     id,
-    wire::{Body, Cancel, Codec, Frame, Hello, Redirect, VERSION},
+    wire::{Body, Cancel, Codec, Frame, Hello, Probe, Redirect, VERSION},
 };
 
 /// Longest time to connect and greet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time without a frame after which a peer that owes one is probed, and between two probes; a busy
+/// leader answers within a tenth of it.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Probes without any frame after which a connection is given up; the time for which sent bytes may
+/// stay unacknowledged is as long.
+const PROBES: u32 = 3;
 /// Frames that wait for a connection's writer.
 const WRITE_QUEUE: usize = 4096;
 /// Bytes that wait for one slow reader before its stream is cut.
@@ -112,6 +118,8 @@
     inboxes: Mutex<Option<HashMap<id::Stream, Inbox>>>,
     writer: mpsc::Sender<Frame>,
     dropped: AtomicU64,
+    /// Whether something was sent since the last frame came.
+    unheard: AtomicBool,
 }
 
 /// A connection to one peer that this process opened.
@@ -157,6 +165,7 @@
             inboxes: Mutex::new(Some(HashMap::new())),
             writer,
             dropped: AtomicU64::new(0),
+            unheard: AtomicBool::new(false),
         });
         tokio::spawn(write(sink, queue));
         tokio::spawn(read(stream, shared.clone()));
@@ -202,6 +211,7 @@
             last: false,
             body: Some(body),
         };
+        self.shared.unheard.store(true, Ordering::Relaxed);
         self.shared
             .writer
             .send(frame)
@@ -221,6 +231,7 @@
             last: true,
             body: Some(body),
         };
+        self.shared.unheard.store(true, Ordering::Relaxed);
         self.shared.writer.try_send(frame).map_err(|_| Error::Lost)
     }
 }
@@ -312,19 +323,34 @@
 }
 
 async fn read(mut stream: SplitStream<Connection>, shared: Arc<Shared>) {
+    let mut probes = 0;
     loop {
         // A connection that cannot be written is of no use.
         let frame = tokio::select! {
-            frame = stream.next() => frame,
-            () = shared.writer.closed() => None,
+            frame = timeout(PROBE_INTERVAL, stream.next()) => frame,
+            () = shared.writer.closed() => Ok(None),
         };
         match frame {
-            Some(Ok(frame)) => deliver(&shared, frame),
-            Some(Err(error)) => {
+            Ok(Some(Ok(frame))) => {
+                probes = 0;
+                shared.unheard.store(false, Ordering::Relaxed);
+                deliver(&shared, frame);
+            }
+            Ok(Some(Err(error))) => {
                 emit!(FRAME_INVALID, "{error}");
                 break;
             }
-            None => break,
+            Ok(None) => break,
+            Err(_) if !shared.expects() => probes = 0,
+            Err(_) if probes == PROBES => {
+                emit!(LINK_SILENT, "no answer to {PROBES} probes");
+                break;
+            }
+            Err(_) => {
+                probes += 1;
+                // A writer that is full is as silent as the peer.
+                let _ = shared.writer.try_send(probe());
+            }
         }
     }
     let inboxes = lock(&shared.inboxes).take();
@@ -333,10 +359,29 @@
     }
 }
 
+impl Shared {
+    /// Whether the peer owes a frame.
+    fn expects(&self) -> bool {
+        let open = lock(&self.inboxes).as_ref().map_or(0, HashMap::len);
+        open > 0 || self.unheard.load(Ordering::Relaxed)
+    }
+}
+
+fn probe() -> Frame {
+    Frame {
+        stream: 0,
+        last: true,
+        body: Some(Body::Probe(Probe {})),
+    }
+}
+
 fn deliver(shared: &Shared, frame: Frame) {
     let Some(body) = frame.body else {
         return;
     };
+    if matches!(body, Body::Probe(_)) {
+        return;
+    }
     let mut inboxes = lock(&shared.inboxes);
     let Some(inboxes) = inboxes.as_mut() else {
         return;
@@ -575,6 +620,10 @@
             }
         };
         match frame.body {
+            Some(Body::Probe(_)) => {
+                // A writer that is full shows the peer by its frames that this host hears.
+                let _ = writer.try_send(probe());
+            }
             Some(Body::Cancel(_)) => {
                 if let Some(cancel) = open.remove(&frame.stream) {
                     cancel.send_replace(true);
--- a/crates/tanagershift/src/tests/search.rs
+++ b/crates/tanagershift/src/tests/search.rs
@@ -8,7 +8,11 @@
     time::Duration,
 };
 
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 
 use crate::{
     follower::Leader,
@@ -70,3 +74,69 @@
     assert!(opened.is_some());
     assert_eq!(asked.load(Ordering::Relaxed), 1);
 }
+
+/// A connection that something in between holds open and that carries nothing: bytes are taken and
+/// acknowledged, none come back. New connections work.
+#[tokio::test]
+async fn a_connection_that_went_silent_is_given_up_and_replaced() {
+    let (listener, leader) = listen().await;
+    let answer = move |_: Body, responder: Responder| {
+        tokio::spawn(async move {
+            let report = Body::Report(Default::default());
+            responder.finish(report).await.ok();
+        });
+    };
+    tokio::spawn(link::serve(listener, greeting("leader"), answer));
+    let (near, between) = listen().await;
+    let silent = Arc::new(AtomicU32::new(0));
+    tokio::spawn(carry(near, leader, silent.clone()));
+    let client = Leader::new(Pool::new(greeting("gateway")), vec![between]);
+    let second = Duration::from_secs(1);
+    let ask = || client.open(Body::Report(Default::default()), second, second);
+    assert!(ask().await.is_some());
+    silent.store(1, Ordering::Relaxed);
+    let mut answered = false;
+    for _ in 0..4 {
+        answered = answered || ask().await.is_some();
+    }
+    assert!(answered, "no answer within four seconds");
+}
+
+/// A peer that thinks for longer than all probes take, on a sound connection.
+#[tokio::test]
+async fn a_slow_answer_on_a_sound_connection_is_waited_for() {
+    let (listener, leader) = listen().await;
+    let second = Duration::from_secs(1);
+    let answer = move |_: Body, responder: Responder| {
+        tokio::spawn(async move {
+            sleep(second * 3).await;
+            let report = Body::Report(Default::default());
+            responder.finish(report).await.ok();
+        });
+    };
+    tokio::spawn(link::serve(listener, greeting("leader"), answer));
+    let client = Leader::new(Pool::new(greeting("gateway")), vec![leader]);
+    let opened = client.open(Body::Report(Default::default()), second * 5, second * 5);
+    assert!(opened.await.is_some());
+}
+
+/// Carries connections; those up to the number in `silent` lose every byte.
+async fn carry(listener: TcpListener, target: String, silent: Arc<AtomicU32>) {
+    for number in 1.. {
+        let (near, _) = listener.accept().await.unwrap();
+        let far = TcpStream::connect(&target).await.unwrap();
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        for (mut from, mut to) in [(near_read, far_write), (far_read, near_write)] {
+            let silent = silent.clone();
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 4096];
+                while let Ok(read @ 1..) = from.read(&mut buffer).await {
+                    if silent.load(Ordering::Relaxed) < number {
+                        to.write_all(&buffer[..read]).await.ok();
+                    }
+                }
+            });
+        }
+    }
+}
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -44,7 +44,7 @@
     #[prost(
         oneof = "Body",
         tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, \
-                26, 27, 28, 29, 30"
+                26, 27, 28, 29, 30, 31"
     )]
     pub body: Option<Body>,
 }
@@ -137,6 +137,9 @@
     /// Answer to a request for a replica.
     #[prost(message, tag = "30")]
     Grant(feed::Grant),
+    /// Asks the peer to show that it hears, and the answer to it.
+    #[prost(message, tag = "31")]
+    Probe(Probe),
 }
 
 /// Asks the leader for configuration from a revision on, and for the routes.
@@ -431,6 +434,11 @@
 #[derive(Message)]
 pub struct Cancel {}
 
+/// Shows that a connection carries frames.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Probe {}
+
 /// Who may lead.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
