--- a/crates/tanagershift/src/follower.rs
+++ b/crates/tanagershift/src/follower.rs
@@ -106,11 +106,11 @@
     /// not answered for a little while.
     async fn open_any(&self, body: &Body, attempt: Duration) -> Option<(Call, Body)> {
         let mut candidates = self.candidates().into_iter();
-        let met = Mutex::default();
+        let asked_hosts = Mutex::default();
         let mut asked = FuturesUnordered::new();
         loop {
             match candidates.next() {
-                Some(address) => asked.push(self.open_at(address, body, attempt, &met)),
+                Some(address) => asked.push(self.open_at(address, body, attempt, &asked_hosts)),
                 None if asked.is_empty() => return None,
                 None => {}
             }
@@ -195,10 +195,10 @@
         mut address: String,
         body: &Body,
         limit: Duration,
-        met: &Mutex<BTreeSet<String>>,
+        asked_hosts: &Mutex<BTreeSet<String>>,
     ) -> Option<(Call, Body)> {
         for _ in 0..2 {
-            let known = !met
+            let known = !asked_hosts
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .insert(address.clone());
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -54,7 +54,7 @@
     }
 
     /// Refuses a request whose adapter would come after its caller has given up; it may come back when
-    /// the line has moved on.
+    /// the queue has moved on.
     fn refuse_hopeless(&self, ask: &Ask, wait: Duration, responder: Responder) {
         log::info!(
             "event=schedule.hopeless request={} load_wait_ms={} give_up_ms={} waiting={}",
--- a/crates/tanagershift/src/gateway/placement/store_tests.rs
+++ b/crates/tanagershift/src/gateway/placement/store_tests.rs
@@ -134,7 +134,7 @@
 /// Pattern: many rare adapters at once. Who would have to wait for longer than a caller does is known
 /// at once; who is known already, or asks while the store has room, is not turned away.
 #[test]
-fn a_line_for_the_store_that_is_too_long_is_known() {
+fn a_queue_for_the_store_that_is_too_long_is_known() {
     let mut world = World::new(REPLICAS, PLACES);
     world.run(Duration::from_millis(100));
     let patience = Duration::from_millis(2800);
--- a/crates/tanagershift/src/gateway/schedule.rs
+++ b/crates/tanagershift/src/gateway/schedule.rs
@@ -102,7 +102,7 @@
 
 /// Waiting jobs of one group.
 #[derive(Debug, Default)]
-struct Line {
+struct Queue {
     /// Oldest first.
     jobs: BTreeSet<Number>,
     /// Since when some replica has had what they need, and yet some have waited.
@@ -221,7 +221,7 @@
     config: Config,
     waiting: BTreeMap<Number, Job>,
     /// Waiting jobs by what they need.
-    groups: BTreeMap<Group, Line>,
+    groups: BTreeMap<Group, Queue>,
     loads: BTreeMap<id::Upstream, Load>,
     /// How fast the replicas of each service are given prompts.
     paces: BTreeMap<String, Pace>,
@@ -275,8 +275,8 @@
 
     /// Adds a job.
     pub fn add(&mut self, job: Job) {
-        let line = self.groups.entry(job.group()).or_default();
-        line.jobs.insert(job.number);
+        let queue = self.groups.entry(job.group()).or_default();
+        queue.jobs.insert(job.number);
         self.waiting.insert(job.number, job);
     }
 
@@ -284,9 +284,9 @@
     fn remove(&mut self, number: Number) -> Option<Job> {
         let job = self.waiting.remove(&number)?;
         let group = job.group();
-        if let Some(line) = self.groups.get_mut(&group) {
-            line.jobs.remove(&number);
-            if line.jobs.is_empty() {
+        if let Some(queue) = self.groups.get_mut(&group) {
+            queue.jobs.remove(&number);
+            if queue.jobs.is_empty() {
                 self.groups.remove(&group);
             }
         }
@@ -331,23 +331,25 @@
         let mut decisions = Vec::new();
         let mut order = Vec::new();
         let mut given_up = Vec::new();
-        for (group, line) in &mut self.groups {
-            let numbers = &line.jobs;
+        for (group, queue) in &mut self.groups {
+            let numbers = &queue.jobs;
             let oldest = numbers.first().and_then(|number| self.waiting.get(number));
             let Some(oldest) = oldest else {
                 continue;
             };
             let found = candidates(group, oldest, numbers.len());
-            line.busy_since = match found.is_empty() {
+            queue.busy_since = match found.is_empty() {
                 true => None,
-                false => line.busy_since.or(Some(now)),
+                false => queue.busy_since.or(Some(now)),
             };
             let jobs = numbers.iter().filter_map(|number| self.waiting.get(number));
             for job in jobs {
                 if !found.is_empty() {
                     let late = now > job.objective;
                     let rank = (late, job.priority, job.objective, job.number);
-                    let busy = line.busy_since.is_some_and(|since| now > since + BUSY_TIME);
+                    let busy = queue
+                        .busy_since
+                        .is_some_and(|since| now > since + BUSY_TIME);
                     order.push((rank, found.clone(), late && busy));
                 } else if now >= job.give_up {
                     given_up.push(job.number);
@@ -393,9 +395,10 @@
 
     /// Groups whose jobs have waited for longer than a time although replicas have what they need.
     pub fn pressed(&self, after: Duration, now: Instant) -> impl Iterator<Item = &Group> {
-        let pressed = move |line: &Line| line.busy_since.is_some_and(|since| now > since + after);
-        let lines = self.groups.iter().filter(move |(_, line)| pressed(line));
-        lines.map(|(group, _)| group)
+        let pressed =
+            move |queue: &Queue| queue.busy_since.is_some_and(|since| now > since + after);
+        let queues = self.groups.iter().filter(move |(_, queue)| pressed(queue));
+        queues.map(|(group, _)| group)
     }
 
     /// The candidate that would begin the job first, if any may be given it now, and its cost.
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -16,8 +16,8 @@
 use crate::id;
 
 /// Time after an announcement in which requests may still be sent to the older version, as a share of
-/// the platform's bound on their beginning. The rest is for a request that waits at its replica: there
-/// are callers who wait for three objectives, which is about the other half.
+/// the platform's bound on their beginning. The rest is for the time that a request waits in its
+/// replica's queue: up to three objectives, after which callers give up.
 const VERSION_SHARE: f64 = 0.4;
 /// First time for which an upstream that failed is avoided.
 const EJECT_MIN: Duration = Duration::from_millis(500);
