--- a/crates/tanagershift/src/entry/route.rs
+++ b/crates/tanagershift/src/entry/route.rs
@@ -13,6 +13,8 @@
 use tokio::time::Instant;
 
 use crate::{
+    admission::{Access, Admission},
+    holder::engine::DEPARTURE_TTL,
     id,
     platform::{Kind, Standing, Upstream},
 };
@@ -53,13 +55,25 @@
 }
 
 /// Load and failures of all upstreams as observed by this entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadTracker {
+    /// Upstreams that leave or have asked this entry for a pause.
+    pub admission: Admission,
     upstreams: BTreeMap<id::Upstream, UpstreamStats>,
     /// Open requests by adapter.
     open_by_adapter: BTreeMap<String, u32>,
 }
 
+impl Default for LoadTracker {
+    fn default() -> Self {
+        Self {
+            admission: Admission::with_departure_ttl(DEPARTURE_TTL),
+            upstreams: BTreeMap::new(),
+            open_by_adapter: BTreeMap::new(),
+        }
+    }
+}
+
 impl LoadTracker {
     /// Records that a request was sent to an upstream.
     pub fn request_started(&mut self, upstream: &str) {
@@ -218,22 +232,42 @@
         }
     }
 
-    /// Ranks the live upstreams of a plain service, best first: by load, then own availability zone,
-    /// then name.
+    /// End of the first pause to end, if every live upstream of a plain service that does not leave
+    /// has asked for one.
+    pub fn paused_until(
+        &self,
+        listed: &[Upstream],
+        service: &str,
+        now: Instant,
+    ) -> Option<Instant> {
+        let names = live_upstreams(listed, service).map(|upstream| upstream.name.as_str());
+        self.admission.paused_until(names, now)
+    }
+
+    /// Ranks the live upstreams of a plain service that may be sent requests, best first: by load,
+    /// then own availability zone, then name.
     ///
-    /// Ejected upstreams come last, but at most half of all are moved there.
+    /// Ejected upstreams come last, but at most half of all are moved there. If all upstreams have
+    /// asked for a pause, the one whose pause ends first is the only one.
     pub fn rank_upstreams<'a>(
         &self,
         listed: &'a [Upstream],
-        service: &str,
+        service: &'a str,
         zone: &str,
         now: Instant,
     ) -> Vec<&'a Upstream> {
-        let mut ranked: Vec<_> = listed
-            .iter()
-            .filter(|upstream| upstream.kind == Kind::Service && upstream.state == Standing::Live)
-            .filter(|upstream| upstream.serves == service)
+        let access = |upstream: &Upstream| self.admission.access(&upstream.name, now);
+        let mut ranked: Vec<_> = live_upstreams(listed, service)
+            .filter(|upstream| access(upstream) == Access::Open)
             .collect();
+        if ranked.is_empty() {
+            let paused =
+                live_upstreams(listed, service).filter(|upstream| access(upstream).is_permitted());
+            return paused
+                .min_by_key(|upstream| access(upstream).time_left(now))
+                .into_iter()
+                .collect();
+        }
         ranked.sort_by_key(|upstream| {
             (
                 self.estimated_load(&upstream.name, now),
@@ -244,6 +278,18 @@
     }
 }
 
+/// Returns the live upstreams of a plain service.
+fn live_upstreams<'a>(
+    listed: &'a [Upstream],
+    service: &'a str,
+) -> impl Iterator<Item = &'a Upstream> {
+    listed.iter().filter(move |upstream| {
+        upstream.kind == Kind::Service
+            && upstream.state == Standing::Live
+            && upstream.serves == service
+    })
+}
+
 /// Returns the rendezvous hash of an adapter and a replica; the replicas with the largest values
 /// are preferred.
 fn rendezvous_weight(adapter: &str, replica: &str) -> u64 {
--- a/crates/tanagershift/src/entry/service.rs
+++ b/crates/tanagershift/src/entry/service.rs
@@ -18,6 +18,7 @@
     server::{Call, Entry},
 };
 use crate::{
+    admission::{LEAVING_HEADER, Origin, Signal},
     catalog::{check_name, hex},
     follower,
     holder::engine::{self, REQUEST_ID_HEADER},
@@ -81,6 +82,18 @@
 struct AttemptError {
     verdict: Verdict,
     reason: String,
+    /// When another call may succeed.
+    retry_after: Duration,
+}
+
+impl AttemptError {
+    fn new(verdict: Verdict, reason: impl Into<String>) -> Self {
+        Self {
+            verdict,
+            reason: reason.into(),
+            retry_after: RETRY_AFTER,
+        }
+    }
 }
 
 /// A complete response of a plain service.
@@ -117,7 +130,7 @@
 
 fn attempt_failure(error: &AttemptError) -> Failure {
     match error.verdict {
-        Verdict::NotRun => Failure::unavailable("not_run", &error.reason, RETRY_AFTER),
+        Verdict::NotRun => Failure::unavailable("not_run", &error.reason, error.retry_after),
         Verdict::Ran | Verdict::MayHaveRun => Failure::may_have_run(&error.reason),
     }
 }
@@ -176,13 +189,18 @@
 ) -> Result<UpstreamResponse, AttemptError> {
     let search_deadline = deadline.min(call.received_at + entry.config().search_timeout);
     let mut first = true;
-    let mut last_error = AttemptError {
-        verdict: Verdict::NotRun,
-        reason: "no upstream of the service is live".to_owned(),
-    };
+    let mut last_error = AttemptError::new(Verdict::NotRun, "no upstream of the service is live");
     let mut error_response = None;
     loop {
-        for (name, address) in candidates(entry, target) {
+        let candidates = candidates(entry, target);
+        if candidates.is_empty()
+            && let Some(left) = time_paused(entry, target)
+        {
+            last_error.reason = "every upstream has asked for a pause".to_owned();
+            last_error.retry_after = left;
+            return Err(last_error);
+        }
+        for (name, address) in candidates {
             if !first && !entry.retry_budget().try_withdraw() {
                 return error_response.ok_or(last_error);
             }
@@ -232,6 +250,15 @@
     ranked.into_iter().map(name_and_address).collect()
 }
 
+/// Time until the first pause ends, if every live upstream of the service has asked for one.
+fn time_paused(entry: &Entry, target: &Target) -> Option<Duration> {
+    let list = entry.host.list.borrow().clone();
+    let load_tracker = entry.load_tracker();
+    let now = Instant::now();
+    let until = load_tracker.paused_until(&list, &target.service, now)?;
+    Some(until.saturating_duration_since(now))
+}
+
 /// Sends a call to one upstream and records the outcome for the ranking.
 async fn try_upstream(
     entry: &Entry,
@@ -241,19 +268,33 @@
     address: &str,
     deadline: Instant,
 ) -> Result<UpstreamResponse, AttemptError> {
-    entry.load_tracker().request_started(name);
+    {
+        let mut load_tracker = entry.load_tracker();
+        let now = Instant::now();
+        if let Err(access) = load_tracker.admission.admit(name, now) {
+            access.log_withheld(&call.id, name, now);
+            let reason = "the upstream takes no requests now";
+            return Err(AttemptError::new(Verdict::NotRun, reason));
+        }
+        load_tracker.request_started(name);
+    }
     let outcome = match timeout_at(deadline, send_request(entry, call, target, address)).await {
         Ok(outcome) => outcome,
-        Err(_) => Err(AttemptError {
-            verdict: Verdict::MayHaveRun,
-            reason: "the deadline passed".to_owned(),
-        }),
+        Err(_) => Err(AttemptError::new(
+            Verdict::MayHaveRun,
+            "the deadline passed",
+        )),
     };
     let mut load_tracker = entry.load_tracker();
     let now = Instant::now();
     match outcome {
         Ok(mut response) => {
             load_tracker.request_ended(name, Some(0), now);
+            let leaving = response.headers.contains_key(LEAVING_HEADER);
+            let signal = Signal::from_head(response.status, &response.headers, leaving);
+            load_tracker
+                .admission
+                .observe(name, signal, Origin::Answer, now);
             response.upstream = name.to_owned();
             Ok(response)
         }
@@ -276,26 +317,20 @@
         .method(call.method.clone())
         .uri(format!("http://{address}{}", target.path))
         .body(Full::from(call.body.clone()))
-        .map_err(|error| AttemptError {
-            verdict: Verdict::NotRun,
-            reason: error.to_string(),
-        })?;
+        .map_err(|error| AttemptError::new(Verdict::NotRun, error.to_string()))?;
     copy_headers(&call.headers, request.headers_mut());
     if let Ok(id) = HeaderValue::from_str(&call.id) {
         request.headers_mut().insert(REQUEST_ID_HEADER, id);
     }
     let response = entry.http.request(request).await.map_err(|error| {
         let error = engine::classify(&error);
-        AttemptError {
-            verdict: error.verdict(),
-            reason: error.to_string(),
-        }
+        AttemptError::new(error.verdict(), error.to_string())
     })?;
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
-    let body = body.map_err(|error| AttemptError {
-        verdict: Verdict::MayHaveRun,
-        reason: format!("the answer was cut off: {error}"),
+    let body = body.map_err(|error| {
+        let reason = format!("the answer was cut off: {error}");
+        AttemptError::new(Verdict::MayHaveRun, reason)
     })?;
     Ok(UpstreamResponse {
         status: parts.status,
--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -75,6 +75,14 @@
     LIST_FAILED = 501, Warn;
     /// An upstream is leaving.
     UPSTREAM_LEAVING = 502, Info;
+    /// An upstream announced in an answer that it leaves.
+    UPSTREAM_ANNOUNCED = 503, Info;
+    /// An upstream asked this host for a pause.
+    UPSTREAM_PAUSED = 504, Info;
+    /// A `Retry-After` of an upstream is not used as it was sent.
+    RETRY_AFTER_INVALID = 505, Warn;
+    /// A request was not sent to a selected upstream that leaves or has asked for a pause.
+    SEND_WITHHELD = 506, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -42,12 +42,12 @@
     NoLeader,
 }
 
-/// Asks the leader to assign a replica to a job; `tried` names the replicas of earlier attempts.
-pub async fn ask(gateway: &Gateway, job: &Job, tried: &[String]) -> Answer {
+/// Asks the leader to assign a replica to a job; `excluded` names the replicas that must not get it.
+pub async fn ask(gateway: &Gateway, job: &Job, excluded: &[String]) -> Answer {
     if !gateway.heard_leader_within(LEADER_SILENCE_LIMIT) {
         return Answer::NoLeader;
     }
-    let body = Body::Ask(ask_message(gateway, job, tried));
+    let body = Body::Ask(ask_message(gateway, job, excluded));
     let opened = timeout(CONNECT_TIMEOUT, gateway.leader.call(body)).await;
     let Ok(Some(mut call)) = opened else {
         return Answer::NoLeader;
@@ -82,7 +82,7 @@
     }
 }
 
-fn ask_message(gateway: &Gateway, job: &Job, tried: &[String]) -> Ask {
+fn ask_message(gateway: &Gateway, job: &Job, excluded: &[String]) -> Ask {
     let now = Instant::now();
     let objective = job.received_at + job.route.objective.mul_f64(1.0 - OBJECTIVE_MARGIN);
     let give_up = job.route.objective.mul_f64(GIVE_UP_OBJECTIVES);
@@ -104,7 +104,8 @@
         priority: job.route.priority.into(),
         objective_ms: millis(objective) as i64 - overdue_ms,
         give_up_ms: millis(give_up),
-        tried: tried.to_vec(),
+        tried: excluded.to_vec(),
+        host: gateway.host.clone(),
     }
 }
 
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -77,6 +77,7 @@
                 .await;
             if let Some((call, Body::Notice(first))) = opened {
                 log::info!("event=leader.found term={}", first.term);
+                self.gateway.view().admission.forget_confirmations();
                 let reason = match self.apply(first) {
                     Ok(()) => self.apply_notices(call).await,
                     Err(reason) => reason,
@@ -131,6 +132,7 @@
         let residencies_changed =
             notice.is_snapshot || !notice.residencies.is_empty() || notice.list.is_some();
         self.gateway.view().apply(&notice, now);
+        self.gateway.apply_departures(&notice.leaving);
         if residencies_changed {
             self.gateway
                 .placement_changes
@@ -174,8 +176,7 @@
         loop {
             let interval = *self.gateway.notice_interval.borrow();
             let started = Instant::now();
-            // A request that begins to wait for an adapter triggers a tally ahead of the interval.
-            let _ = timeout(interval, self.gateway.adapter_wanted.notified()).await;
+            let _ = timeout(interval, self.gateway.tally_wanted.notified()).await;
             sleep(MIN_TALLY_INTERVAL.saturating_sub(started.elapsed())).await;
             let tally = {
                 let mut view = self.gateway.view();
@@ -186,6 +187,8 @@
                     demand: view.take_demand(),
                     missing: view.take_missing(),
                     streams: self.gateway.take_stream_counts(),
+                    leaving: view.unconfirmed_departures(),
+                    pauses: view.pauses(Instant::now()),
                 }
             };
             self.gateway.leader.tell(Body::Tally(tally)).await;
@@ -209,7 +212,7 @@
                     number += 1;
                     log::info!("event=list.own upstreams={}", upstreams.len());
                     let list = List { number, upstreams };
-                    self.gateway.view().apply_list(&list);
+                    self.gateway.view().apply_list(&list, Instant::now());
                     self.gateway
                         .placement_changes
                         .send_modify(|number| *number += 1);
--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -8,6 +8,7 @@
     message::Upstream,
     view::{KnownUpstream, View},
 };
+use crate::admission::Access;
 
 /// Share of its slots by which an upstream in another availability zone must be less busy to be
 /// preferred: traffic between zones is expensive, but waiting costs more.
@@ -34,6 +35,9 @@
     /// Send the request to this upstream, to be served with this version of the adapter; `None` if
     /// the request names no model.
     Send(Arc<Upstream>, Option<u64>),
+    /// Every upstream that could take the request has asked this host for a pause. The first pause
+    /// ends at this time.
+    Paused(Instant),
     /// No replica has the adapter or base model that the request needs, or only ejected ones have
     /// it.
     NoReplica,
@@ -43,14 +47,25 @@
 
 /// Selects the least busy upstream that meets the requirements of a request.
 pub fn choose(view: &View, requirements: &Requirements<'_>, now: Instant) -> Choice {
+    let access = |known: &KnownUpstream| view.admission.access(&known.upstream.name, now);
     let live: Vec<&KnownUpstream> = view
         .upstreams_of(requirements.service)
         .filter(|known| !known.upstream.draining)
         .filter(|known| !requirements.tried.contains(&known.upstream.name))
+        .filter(|known| !matches!(access(known), Access::Leaving { .. }))
         .collect();
     if live.is_empty() {
         return Choice::NoUpstream;
     }
+    let open: Vec<&KnownUpstream> = live
+        .iter()
+        .filter(|known| access(known) == Access::Open)
+        .copied()
+        .collect();
+    if open.is_empty() {
+        return choose_paused(view, requirements, &live, now);
+    }
+    let live = open;
     let Some(wanted) = requirements.adapter.or(requirements.model) else {
         let best = least_busy(
             live.into_iter().map(|known| (known, None)),
@@ -84,6 +99,39 @@
     }
 }
 
+/// Selects among upstreams that have all asked for a pause: the one whose pause ends first, as long
+/// as it may be sent a request.
+fn choose_paused(
+    view: &View,
+    requirements: &Requirements<'_>,
+    live: &[&KnownUpstream],
+    now: Instant,
+) -> Choice {
+    let wanted = requirements.adapter.or(requirements.model);
+    let mut first_end: Option<Instant> = None;
+    let mut best: Option<(Instant, &KnownUpstream, Option<u64>)> = None;
+    for known in live {
+        let name = &known.upstream.name;
+        let Access::Paused {
+            until, sends_left, ..
+        } = view.admission.access(name, now)
+        else {
+            continue;
+        };
+        first_end = Some(first_end.map_or(until, |first| first.min(until)));
+        let version = wanted.map(|wanted| view.usable_version(wanted, name, now));
+        let suits = sends_left > 0 && version != Some(None);
+        if suits && best.is_none_or(|(first, _, _)| until < first) {
+            best = Some((until, known, version.flatten()));
+        }
+    }
+    match (best, first_end) {
+        (Some((_, known, version)), _) => Choice::Send(known.upstream.clone(), version),
+        (None, Some(end)) => Choice::Paused(end),
+        (None, None) => Choice::NoUpstream,
+    }
+}
+
 /// The least busy candidate; ejected ones come last.
 fn least_busy<'a>(
     candidates: impl Iterator<Item = (&'a KnownUpstream, Option<u64>)>,
--- a/crates/tanagershift/src/gateway/client.rs
+++ b/crates/tanagershift/src/gateway/client.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
-    HeaderMap, Method, Request, StatusCode,
+    HeaderMap, Method, Request,
     header::{CONNECTION, HOST, HeaderValue},
+    http::response,
 };
 use tokio::time::{Instant, timeout};
 
@@ -50,7 +51,7 @@
     address: &str,
     api_request: &ApiRequest,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<(response::Parts, Bytes), Error> {
     let timed_out = |_| Error::Broken {
         reason: "no answer in time".to_owned(),
     };
@@ -63,7 +64,7 @@
     pool: &Pool,
     address: &str,
     api_request: &ApiRequest,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<(response::Parts, Bytes), Error> {
     let broken = |reason: String| Error::Broken { reason };
     loop {
         let mut connection = pool.connect(address).await?;
@@ -86,9 +87,10 @@
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|error| broken(error.to_string()))?.to_bytes();
         let connection_header = head.headers.get(CONNECTION);
-        if connection_header.is_none_or(|value| value != "close") {
+        let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
+        if !connection_header.is_some_and(closes) {
             pool.put(connection, None, Instant::now());
         }
-        return Ok((head.status, body));
+        return Ok((head, body));
     }
 }
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -51,6 +51,9 @@
         /// Why it could not be made.
         reason: String,
     },
+    /// The upstream leaves or has asked for a pause; nothing was sent.
+    #[snafu(display("the upstream takes no requests now"))]
+    Withheld,
     /// The connection was closed before the request was written.
     #[snafu(display("connection was closed before the request was sent"))]
     Unsent,
@@ -66,7 +69,7 @@
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } | Self::Unsent => Verdict::NotRun,
+            Self::Connect { .. } | Self::Withheld | Self::Unsent => Verdict::NotRun,
             Self::Broken { .. } => Verdict::MayHaveRun,
         }
     }
@@ -201,6 +204,11 @@
         });
     }
 
+    /// Closes all idle connections to an address.
+    pub fn close(&self, address: &str) {
+        self.idle().remove(address);
+    }
+
     /// Closes connections that have been idle for too long or that the peer has closed.
     pub fn sweep(&self, now: Instant) {
         self.idle().retain(|_, idle| {
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -67,6 +67,8 @@
     pub keep_alive: Option<Duration>,
     /// Identity of the replica that answers; it may not be the expected one.
     pub instance: Option<String>,
+    /// Whether the replica announces that it leaves.
+    pub leaving: bool,
 }
 
 /// What an order makes a replica do.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
     dialect::{AddedHeaders, RequestHead, ResponseHead},
     message::Upstream,
 };
-use crate::{link::Call, verdict::Verdict};
+use crate::{admission::Origin, link::Call, verdict::Verdict};
 
 /// Connections to try at one upstream, since idle ones may turn out to be closed.
 const MAX_CONNECTION_ATTEMPTS: usize = 3;
@@ -60,6 +60,10 @@
     /// Returns the connection to the pool, unless the upstream closes it. The whole body must have
     /// been read.
     pub fn finish(self, gateway: &Gateway) {
+        let name = &self.guard.upstream().name;
+        if gateway.view().admission.is_leaving(name, Instant::now()) {
+            return;
+        }
         let connection_header = self.head.headers.get(hyper::header::CONNECTION);
         if connection_header.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
@@ -152,6 +156,7 @@
             match error {
                 Error::Connect { .. } => view.record_unreachable(&upstream.name, now),
                 Error::Unsent | Error::Broken { .. } => view.record_failure(&upstream.name, now),
+                Error::Withheld => {}
             }
             return Err(FailedAttempt {
                 verdict: error.verdict(),
@@ -163,6 +168,7 @@
     };
     let (head, body) = response.into_parts();
     let parsed_head = gateway.dialect.parse_response_head(&head);
+    gateway.apply_signal(upstream, &head, &parsed_head, Origin::Answer);
     let response = UpstreamResponse {
         head,
         parsed_head,
@@ -184,6 +190,11 @@
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut connection = gateway.pool.connect(&upstream.address).await?;
         let request = build_request(gateway, job, upstream, version, resume_after)?;
+        // Decided after connecting, which takes time.
+        if let Err(access) = gateway.admit(&upstream.name) {
+            gateway.log_withheld(&job.head.id, &upstream.name, access);
+            return Err(Error::Withheld);
+        }
         match connection.send(request).await {
             Ok(response) => return Ok((connection, response)),
             Err(Error::Unsent) => last_error = Error::Unsent,
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -21,7 +21,7 @@
     exchange::{FailedAttempt, Job, SelectedUpstream, UpstreamResponse, exchange},
     relay::{Body, Stream, StreamTiming},
 };
-use crate::{entry::retry::may_repeat, verdict::Verdict};
+use crate::{admission::Access, entry::retry::may_repeat, verdict::Verdict};
 
 /// `Retry-After` of a rejection when no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -390,21 +390,8 @@
 ) -> Result<SelectedUpstream, Rejection> {
     let began = Instant::now();
     if job.head.model.is_some() {
-        match ask(gateway, job, &trace.tried).await {
-            Answer::Granted(upstream, version, grant) => {
-                trace.replica_wait += began.elapsed();
-                gateway
-                    .metrics
-                    .replica_wait
-                    .observe(began.elapsed().as_secs_f64());
-                return Ok(SelectedUpstream {
-                    upstream,
-                    version,
-                    grant: Some(grant),
-                });
-            }
-            Answer::Refused(rejection) => return Err(rejection),
-            Answer::NoLeader => {}
+        if let Some(selected) = ask_leader(gateway, job, trace).await? {
+            return Ok(selected);
         }
         if let Some(adapter) = &job.head.adapter {
             gateway.view().count_request(adapter);
@@ -438,6 +425,11 @@
                     grant: None,
                 });
             }
+            Choice::Paused(until) => {
+                let mut rejection = Rejection::retry_later("every upstream has asked for a pause");
+                rejection.retry_after = Some(until - now);
+                return Err(rejection);
+            }
             Choice::NoUpstream => {
                 return Err(Rejection::retry_later("no upstream of the service is live"));
             }
@@ -457,6 +449,50 @@
     }
 }
 
+/// Asks the leader for a replica, again if the replica leaves or has asked this gateway for a pause,
+/// which the leader may not know yet. Returns `None` if the gateway must select one itself.
+async fn ask_leader(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    trace: &mut Trace,
+) -> Result<Option<SelectedUpstream>, Rejection> {
+    let began = Instant::now();
+    let mut excluded = trace.tried.clone();
+    loop {
+        let paused = gateway
+            .view()
+            .service_paused_until(&job.service, Instant::now());
+        if paused.is_some() {
+            return Ok(None);
+        }
+        match ask(gateway, job, &excluded).await {
+            Answer::Granted(upstream, version, grant) => {
+                let access = gateway
+                    .view()
+                    .admission
+                    .access(&upstream.name, Instant::now());
+                if access != Access::Open {
+                    gateway.log_withheld(&job.head.id, &upstream.name, access);
+                    excluded.push(upstream.name.clone());
+                    continue;
+                }
+                trace.replica_wait += began.elapsed();
+                gateway
+                    .metrics
+                    .replica_wait
+                    .observe(began.elapsed().as_secs_f64());
+                return Ok(Some(SelectedUpstream {
+                    upstream,
+                    version,
+                    grant: Some(grant),
+                }));
+            }
+            Answer::Refused(rejection) => return Err(rejection),
+            Answer::NoLeader => return Ok(None),
+        }
+    }
+}
+
 /// Counts a request as waiting for an adapter until dropped.
 struct AdapterWaitGuard {
     gateway: Arc<Gateway>,
@@ -466,7 +502,7 @@
 impl AdapterWaitGuard {
     fn new(gateway: Arc<Gateway>, adapter: String) -> Self {
         gateway.view().count_waiting(&adapter, true);
-        gateway.adapter_wanted.notify_one();
+        gateway.tally_wanted.notify_one();
         Self { gateway, adapter }
     }
 }
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -29,11 +29,12 @@
     message::{Ask, Counts, List, Notice, Residency, Tally, Upstream, Watch},
     orders,
     placement::{self, Action, Adapter, Placement},
-    scheduler::{self, JobNumber, Scheduler},
+    scheduler::{self, JobNumber, Pauses, Scheduler},
     settings::Config,
     upstream_list,
 };
 use crate::{
+    admission::Admission,
     id,
     link::Responder,
     voter::status::{SharedStatus, VoterStatus},
@@ -136,6 +137,10 @@
     watchers: Vec<Watcher>,
     list: List,
     gateways: BTreeMap<id::Host, GatewayState>,
+    /// Upstreams that have announced to any gateway that they leave.
+    departures: Admission,
+    /// Pauses that replicas have asked gateways for.
+    pauses: Pauses,
     /// Gateways with requests that wait for an adapter.
     waiting_gateways: BTreeMap<Adapter, BTreeSet<id::Host>>,
     /// Changes of the placement that were not yet sent to all gateways.
@@ -303,6 +308,8 @@
             watchers: Vec::new(),
             list: List::default(),
             gateways: BTreeMap::new(),
+            departures: Admission::default(),
+            pauses: Pauses::default(),
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
             next_notice: now,
@@ -325,7 +332,7 @@
             Input::Watch(watch, responder) => {
                 state.add_watcher(watch, responder, now);
             }
-            Input::Tally(tally) => state.record_tally(tally, now),
+            Input::Tally(tally) => state.record_tally(tally, &self.gateway.host, now),
             Input::Ask(ask, responder) => state.queue_request(ask, responder, now),
             Input::List(upstreams) => state.update_list(upstreams, now),
             Input::Ordered(term, replica, number, outcome) if term == state.term => {
@@ -396,7 +403,7 @@
                 return;
             };
             tokio::spawn(async move {
-                let report = orders::fetch_report(gateway, upstream.address).await;
+                let report = orders::fetch_report(gateway, upstream).await;
                 // Fails only while the process ends, since the hub runs until then.
                 let _ = inputs.send(Input::Reported(term, replica, report)).await;
             });
@@ -423,7 +430,7 @@
             };
             let voter_status = voter_status.clone();
             tokio::spawn(async move {
-                let outcome = orders::send(gateway, voter_status, upstream.address, order).await;
+                let outcome = orders::send(gateway, voter_status, upstream, order).await;
                 // Fails only while the process ends, since the hub runs until then.
                 let _ = inputs
                     .send(Input::Ordered(term, replica, number, outcome))
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -13,8 +13,9 @@
 
 use super::{GatewayState, LeaderState, Watcher, configuration_history::ConfigurationHistory};
 use crate::{
+    admission::Origin,
     gateway::message::{
-        Announcement, Counts, Document, List, Notice, Residency, Tally, Upstream, Watch,
+        self, Announcement, Counts, Document, List, Notice, Residency, Tally, Upstream, Watch,
     },
     id,
     link::Responder,
@@ -51,6 +52,7 @@
             hosts: self.gateway_count(),
             is_snapshot: self.list.number > 0,
             interval_ms: self.notice_interval().as_millis() as u32,
+            leaving: self.departing(now),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -87,7 +89,10 @@
         NOTICE_INTERVAL * gateways.div_ceil(SMALL_SYSTEM_GATEWAYS)
     }
 
-    pub(super) fn record_tally(&mut self, tally: Tally, now: Instant) {
+    /// Records what a gateway reports; `own_host` is the host of this leader.
+    pub(super) fn record_tally(&mut self, tally: Tally, own_host: &str, now: Instant) {
+        self.record_departures(&tally.leaving, now);
+        self.record_pauses(&tally, own_host, now);
         for demand in &tally.demand {
             if demand.waiting > 0 {
                 let hosts = self
@@ -126,7 +131,63 @@
         }
     }
 
-    pub(super) fn update_list(&mut self, upstreams: Vec<Upstream>, now: Instant) {
+    /// Records upstreams that leave, and tells all gateways of those that are new.
+    fn record_departures(&mut self, upstreams: &[String], now: Instant) {
+        let listed = &self.list.upstreams;
+        let is_listed = |name: &&String| listed.iter().any(|one| one.name == **name);
+        let departures = &mut self.departures;
+        let is_new = |name: &&String| departures.record_leaving(name, Origin::Answer, now);
+        let new: Vec<String> = upstreams
+            .iter()
+            .filter(is_listed)
+            .filter(is_new)
+            .cloned()
+            .collect();
+        if new.is_empty() {
+            return;
+        }
+        for name in &new {
+            log::info!("event=hub.leaving upstream={name}");
+            self.placement.set_leaving(name);
+        }
+        self.broadcast(&Notice {
+            leaving: new,
+            ..Notice::default()
+        });
+    }
+
+    /// Records the pauses that replicas have asked a gateway for. Orders come from this leader's
+    /// own host, so they observe the pauses of that host.
+    fn record_pauses(&mut self, tally: &Tally, own_host: &str, now: Instant) {
+        let pause = |one: &message::Pause| {
+            let until = now + Duration::from_millis(one.remaining_ms);
+            (one.upstream.clone(), until)
+        };
+        let pauses: BTreeMap<id::Upstream, Instant> = tally.pauses.iter().map(pause).collect();
+        if tally.host == own_host {
+            self.placement.set_order_pauses(&pauses, now);
+        }
+        self.pauses.set(&tally.host, pauses);
+    }
+
+    /// Listed upstreams that have announced that they leave.
+    fn departing(&self, now: Instant) -> Vec<id::Upstream> {
+        let listed = self.list.upstreams.iter().map(|one| &one.name);
+        let departing = listed.filter(|name| self.departures.is_leaving(name, now));
+        departing.cloned().collect()
+    }
+
+    /// Marks the upstreams of a reading of the list that have announced that they leave.
+    fn mark_leaving(&mut self, upstreams: &mut [Upstream], now: Instant) {
+        let listed: BTreeSet<&str> = upstreams.iter().map(|one| one.name.as_str()).collect();
+        self.departures.retain_listed(&listed, now);
+        for upstream in upstreams {
+            upstream.draining |= self.departures.is_leaving(&upstream.name, now);
+        }
+    }
+
+    pub(super) fn update_list(&mut self, mut upstreams: Vec<Upstream>, now: Instant) {
+        self.mark_leaving(&mut upstreams, now);
         if self.list.number > 0 && same_list(&self.list.upstreams, &upstreams) {
             return;
         }
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -100,10 +100,11 @@
     /// Assigns replicas to requests. Asks the placement to load adapters that no replica has, and
     /// to load on one more replica those whose replicas are saturated or were all tried.
     pub(super) fn decide(&mut self, now: Instant) {
-        let (placement, unscheduled, capacity) = (
+        let (placement, unscheduled, capacity, pauses) = (
             &self.placement,
             &self.unscheduled_requests,
             &self.token_capacity,
+            &self.pauses,
         );
         let candidate = |replica: &placement::Replica, version: Option<u64>| Candidate {
             name: replica.upstream.name.clone(),
@@ -120,7 +121,7 @@
             version,
         };
         let (mut missing, mut tried) = (Vec::new(), Vec::new());
-        let decisions = self.scheduler.decide(now, |group, oldest, jobs| {
+        let decisions = self.scheduler.decide(pauses, now, |group, oldest, jobs| {
             let serves_group = |one: &&placement::Replica| one.upstream.service == group.service;
             let Some(adapter) = &group.adapter else {
                 let holders = placement.holders(&group.model).filter(serves_group);
@@ -133,7 +134,10 @@
                 .collect();
             if found.is_empty() {
                 missing.push((adapter.clone(), jobs));
-            } else if found.iter().all(|one| oldest.tried.contains(&one.name)) {
+            } else if found
+                .iter()
+                .all(|one| oldest.excludes(&one.name, pauses, now))
+            {
                 tried.push(adapter.clone());
             }
             found
@@ -225,6 +229,7 @@
         model: ask.model,
         adapter: (!ask.adapter.is_empty()).then_some(ask.adapter),
         zone: ask.zone,
+        host: ask.host,
         prompt_tokens: ask.prompt_tokens,
         max_output_tokens: ask.max_output_tokens,
         priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -65,6 +65,10 @@
     /// Patch from a configuration that the gateway has to the newest accepted one.
     #[prost(message, optional, tag = "11")]
     pub patch: Option<Patch>,
+    /// Upstreams that have announced that they leave; the first notice of a watch carries all of
+    /// them that are listed.
+    #[prost(string, repeated, tag = "12")]
+    pub leaving: Vec<String>,
 }
 
 /// The platform's list of upstreams.
@@ -177,6 +181,25 @@
     /// Streams that were relayed to their end since the previous tally.
     #[prost(message, repeated, tag = "6")]
     pub streams: Vec<Streams>,
+    /// Upstreams that have announced to this gateway that they leave, as long as the leader has not
+    /// told it the same.
+    #[prost(string, repeated, tag = "7")]
+    pub leaving: Vec<String>,
+    /// Upstreams that have asked this gateway for a pause which has not ended.
+    #[prost(message, repeated, tag = "8")]
+    pub pauses: Vec<Pause>,
+}
+
+/// A pause that an upstream has asked one gateway for.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Pause {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Milliseconds until the pause ends.
+    #[prost(uint64, tag = "2")]
+    pub remaining_ms: u64,
 }
 
 /// Counts of the streams of one service that were relayed to their end. Broken streams and those
@@ -255,6 +278,9 @@
     /// Replicas that the request has already been sent to.
     #[prost(string, repeated, tag = "13")]
     pub tried: Vec<String>,
+    /// Host of the gateway.
+    #[prost(string, tag = "14")]
+    pub host: String,
 }
 
 /// Answer to an [`Ask`].
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -37,6 +37,13 @@
     pub replica_wait: Histogram,
     /// Seconds from a request to the first event of its stream.
     pub first_event: Histogram,
+    /// Upstreams that announced that they leave.
+    pub departures: Counter,
+    /// Pauses that upstreams asked for.
+    pub pauses: Counter,
+    /// Requests that were not sent to a selected upstream because it leaves or has asked for a
+    /// pause.
+    pub withheld: Counter,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
     /// Requests of callers that are currently open.
@@ -56,6 +63,9 @@
             retries: Counter::default(),
             replica_wait: Histogram::new(SECONDS),
             first_event: Histogram::new(SECONDS),
+            departures: Counter::default(),
+            pauses: Counter::default(),
+            withheld: Counter::default(),
             list_reads: Counter::default(),
             open: Gauge::default(),
             version: Gauge::default(),
@@ -85,6 +95,12 @@
         let help = "Time from a request to the first event of its stream";
         let first = self.first_event.clone();
         registry.register_with_unit("first_event", help, Unit::Seconds, first);
+        let help = "Upstreams that announced that they leave";
+        registry.register("departures", help, self.departures.clone());
+        let help = "Pauses that upstreams asked for";
+        registry.register("pauses", help, self.pauses.clone());
+        let help = "Requests not sent to an upstream that leaves or has asked for a pause";
+        registry.register("withheld", help, self.withheld.clone());
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! * `hub`: the leader's side: reads the platform's upstream list, places adapters and notifies the
 //!   gateways.
 //! * `placement`: decides which adapter is loaded on which replica; `orders` carries it out.
+//! * `signal`: applies what upstreams' answers say about further requests.
 //! * `upstream_list`: reads the list page by page.
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
@@ -41,6 +42,7 @@
 mod scheduler_tests;
 pub mod server;
 pub mod settings;
+pub mod signal;
 #[cfg(test)]
 mod tests;
 pub mod upstream_list;
@@ -97,8 +99,9 @@
     /// Number that grows with each change of the upstream list or of adapter placement; it wakes
     /// requests that wait for an adapter.
     pub placement_changes: watch::Sender<u64>,
-    /// Signals that a request waits for an adapter, so that a tally is sent at once.
-    pub adapter_wanted: Notify,
+    /// Triggers a tally ahead of its interval: a request waits for an adapter, or an upstream
+    /// leaves or has asked for a pause.
+    pub tally_wanted: Notify,
     /// Whether the host is shutting down.
     pub draining: watch::Sender<bool>,
     view: Mutex<View>,
@@ -129,7 +132,7 @@
             last_notice_at: watch::Sender::new(None),
             notice_interval: watch::Sender::new(background::DEFAULT_TALLY_INTERVAL),
             placement_changes: watch::Sender::new(0),
-            adapter_wanted: Notify::new(),
+            tally_wanted: Notify::new(),
             draining: watch::Sender::new(false),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -7,8 +7,9 @@
     client::{self, ApiRequest},
     connection::Error,
     dialect::{Operation, Order, OrderOutcome, Report},
+    message::Upstream,
 };
-use crate::voter::status::SharedStatus;
+use crate::{admission::Origin, voter::status::SharedStatus};
 
 /// Time limit for the answer to an order; replicas answer within a few milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -20,7 +21,7 @@
 pub async fn send(
     gateway: Arc<Gateway>,
     voter_status: SharedStatus,
-    address: String,
+    upstream: Upstream,
     order: Order,
 ) -> OrderOutcome {
     let (method, path, headers, body) = gateway.dialect.encode_order(&order);
@@ -34,10 +35,15 @@
     if !voter_status.holds_lease() {
         return OrderOutcome::Fenced;
     }
-    let answer = client::fetch(&gateway.pool, &address, &api_request, ORDER_TIMEOUT).await;
+    let address = &upstream.address;
+    let answer = client::fetch(&gateway.pool, address, &api_request, ORDER_TIMEOUT).await;
     let outcome = match &answer {
-        Ok((status, _)) => gateway.dialect.order_outcome(*status),
-        Err(Error::Connect { .. }) => OrderOutcome::Gone,
+        Ok((head, _)) => {
+            let parsed_head = gateway.dialect.parse_response_head(head);
+            gateway.apply_signal(&upstream, head, &parsed_head, Origin::Order);
+            gateway.dialect.order_outcome(head.status)
+        }
+        Err(Error::Connect { .. } | Error::Withheld) => OrderOutcome::Gone,
         Err(Error::Unsent | Error::Broken { .. }) => OrderOutcome::Unknown,
     };
     let operation = operation_label(order.operation);
@@ -57,18 +63,29 @@
 }
 
 /// Fetches the report of a replica; `None` if there is no valid answer.
-pub async fn fetch_report(gateway: Arc<Gateway>, address: String) -> Option<Report> {
+pub async fn fetch_report(gateway: Arc<Gateway>, upstream: Upstream) -> Option<Report> {
+    let address = &upstream.address;
     let api_request = ApiRequest::get(gateway.dialect.report_path());
-    match client::fetch(&gateway.pool, &address, &api_request, REPORT_TIMEOUT).await {
-        Ok((status, body)) if status.is_success() => match gateway.dialect.parse_report(&body) {
-            Ok(report) => Some(report),
+    match client::fetch(&gateway.pool, address, &api_request, REPORT_TIMEOUT).await {
+        Ok((head, body)) if head.status.is_success() => match gateway.dialect.parse_report(&body) {
+            Ok(report) => {
+                // Another run of the upstream may have the address now.
+                if report.started_at_ms == upstream.started_at_ms {
+                    let parsed_head = gateway.dialect.parse_response_head(&head);
+                    gateway.apply_signal(&upstream, &head, &parsed_head, Origin::Report);
+                }
+                Some(report)
+            }
             Err(reason) => {
                 log::warn!("event=report.invalid address={address} reason={reason:?}");
                 None
             }
         },
-        Ok((status, _)) => {
+        Ok((head, _)) => {
+            let status = head.status;
             log::info!("event=report.refused address={address} status={status}");
+            let parsed_head = gateway.dialect.parse_response_head(&head);
+            gateway.apply_signal(&upstream, &head, &parsed_head, Origin::Report);
             None
         }
         Err(error) => {
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -296,6 +296,25 @@
         }
     }
 
+    /// Records that a replica has announced that it leaves. It gets no more orders and no requests.
+    pub fn set_leaving(&mut self, replica: &str) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.upstream.draining = true;
+        }
+    }
+
+    /// Sets the pauses that replicas have asked this leader's own host for, each with its end. A
+    /// replica gets no orders before, and loads that were planned there are planned elsewhere.
+    pub fn set_order_pauses(&mut self, pauses: &BTreeMap<id::Upstream, Instant>, now: Instant) {
+        for (name, until) in pauses.iter().filter(|(_, until)| now < **until) {
+            let Some(replica) = self.replicas.get_mut(name) else {
+                continue;
+            };
+            replica.orders_from = Some(*until);
+            replica.slots.retain(|_, slot| slot.state != State::Planned);
+        }
+    }
+
     /// Updates the number of requests that run on an adapter of a replica: one begins or, if
     /// `begins` is false, ends.
     pub fn count_use(&mut self, replica: &str, adapter: &str, begins: bool) {
@@ -431,13 +450,12 @@
             if replica.pending.is_some() || replica.report_pending || replica.upstream.draining {
                 return None;
             }
-            if replica.accepted_orders.is_none() {
-                return Some(replica.report_at);
-            }
-            if !may_order {
-                return None;
-            }
-            replica.next_due()
+            let due = match replica.accepted_orders {
+                None => Some(replica.report_at),
+                Some(_) if may_order => replica.next_due(),
+                Some(_) => None,
+            };
+            due.max(due.and(replica.orders_from))
         };
         let due = self.replicas.values().filter_map(due).min();
         let plan = self.next_plan_at.filter(|_| may_order);
--- a/crates/tanagershift/src/gateway/placement/orders.rs
+++ b/crates/tanagershift/src/gateway/placement/orders.rs
@@ -43,6 +43,9 @@
         if replica.upstream.draining || replica.pending.is_some() || replica.report_pending {
             return None;
         }
+        if replica.is_paused(now) {
+            return None;
+        }
         let Some(expect) = replica.accepted_orders else {
             if now < replica.report_at {
                 return None;
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -229,6 +229,7 @@
         let fits = |replica: &&Replica| {
             replica.free_slots() > 0
                 && replica.is_usable()
+                && !replica.is_paused(now)
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
         };
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -97,6 +97,9 @@
     pub accepted_orders: Option<u64>,
     /// Earliest time of the next request for a report; used only while `accepted_orders` is `None`.
     pub report_at: Instant,
+    /// End of the pause that the replica has asked this leader's host for; it gets no orders and no
+    /// requests for reports before.
+    pub orders_from: Option<Instant>,
     /// Whether a report has been requested and has not arrived.
     pub report_pending: bool,
     /// Adapters and base models that are planned, loaded or being loaded or unloaded.
@@ -131,6 +134,7 @@
             capacity: 0,
             accepted_orders: None,
             report_at: now,
+            orders_from: None,
             report_pending: false,
             slots,
             pending: None,
@@ -161,6 +165,11 @@
         !self.upstream.draining && self.accepted_orders.is_some()
     }
 
+    /// Whether the replica has asked this leader's host for a pause that has not ended.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.orders_from.is_some_and(|from| now < from)
+    }
+
     /// Number of free adapter slots. Planned loads count as taken.
     pub fn free_slots(&self) -> usize {
         self.capacity.saturating_sub(self.adapters().count())
@@ -201,6 +210,9 @@
         if self.upstream.draining || self.pending.is_some() || self.report_pending {
             return false;
         }
+        if self.is_paused(now) {
+            return false;
+        }
         if self.accepted_orders.is_none() {
             return true;
         }
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -74,6 +74,8 @@
     pub adapter: Option<String>,
     /// Availability zone of its gateway.
     pub zone: id::Zone,
+    /// Host of its gateway.
+    pub host: id::Host,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
     /// Upper limit of the output in tokens.
@@ -104,6 +106,30 @@
     pub adapter: Option<String>,
 }
 
+/// Pauses that replicas have asked gateways for, by host of the gateway.
+#[derive(Debug, Default)]
+pub struct Pauses {
+    by_host: BTreeMap<id::Host, BTreeMap<id::Upstream, Instant>>,
+}
+
+impl Pauses {
+    /// Replaces the pauses of one host, each given with its end.
+    pub fn set(&mut self, host: &str, pauses: BTreeMap<id::Upstream, Instant>) {
+        if pauses.is_empty() {
+            self.by_host.remove(host);
+        } else {
+            self.by_host.insert(host.to_owned(), pauses);
+        }
+    }
+
+    /// Whether a replica has asked a host for a pause that has not ended.
+    pub fn contains(&self, host: &str, replica: &str, now: Instant) -> bool {
+        let pauses = self.by_host.get(host);
+        let until = pauses.and_then(|pauses| pauses.get(replica));
+        until.is_some_and(|until| now < *until)
+    }
+}
+
 /// Waiting jobs of one group.
 #[derive(Debug, Default)]
 struct Queue {
@@ -115,6 +141,13 @@
 }
 
 impl Job {
+    /// Whether the job must not be assigned to a replica: it was there already, or the replica has
+    /// asked the job's gateway for a pause.
+    pub fn excludes(&self, replica: &str, pauses: &Pauses, now: Instant) -> bool {
+        let tried = self.tried.iter().any(|tried| tried == replica);
+        tried || pauses.contains(&self.host, replica, now)
+    }
+
     fn group(&self) -> JobGroup {
         JobGroup {
             service: self.service.clone(),
@@ -337,6 +370,7 @@
     /// and returns the replicas that have what they need.
     pub fn decide(
         &mut self,
+        pauses: &Pauses,
         now: Instant,
         mut candidates: impl FnMut(&JobGroup, &Job, usize) -> Rc<[Candidate]>,
     ) -> Vec<Decision> {
@@ -380,7 +414,10 @@
             };
             let prompt_rate = *self.prompt_rates.get(&job.service).unwrap_or(&initial_rate);
             let late_service = late_and_busy.then(|| job.service.clone());
-            if let Some((cost, chosen)) = self.cheapest_candidate(job, &found, &prompt_rate, now) {
+            let free = found
+                .iter()
+                .filter(|one| !job.excludes(&one.name, pauses, now));
+            if let Some((cost, chosen)) = self.cheapest_candidate(job, free, &prompt_rate, now) {
                 let adapter = job.adapter.clone();
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
@@ -425,14 +462,11 @@
     fn cheapest_candidate<'a>(
         &self,
         job: &Job,
-        candidates: &'a [Candidate],
+        candidates: impl Iterator<Item = &'a Candidate>,
         prompt_rate: &PromptRate,
         now: Instant,
     ) -> Option<(f64, &'a Candidate)> {
-        let untried = candidates
-            .iter()
-            .filter(|one| !job.tried.contains(&one.name));
-        untried
+        candidates
             .filter_map(|candidate| {
                 Some((self.cost_ms(job, candidate, prompt_rate, now)?, candidate))
             })
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -6,7 +6,7 @@
 
 use super::{
     prompt_rate::PromptRate,
-    scheduler::{self, Candidate, Decision, Job, PromptPart, Scheduler},
+    scheduler::{self, Candidate, Decision, Job, Pauses, PromptPart, Scheduler},
 };
 
 fn job(number: u64, now: Instant) -> Job {
@@ -16,6 +16,7 @@
         model: "base".to_owned(),
         adapter: Some("base/a".to_owned()),
         zone: "a".to_owned(),
+        host: "host1".to_owned(),
         prompt_tokens: 1400,
         max_output_tokens: 200,
         parts: Vec::new(),
@@ -40,7 +41,7 @@
 
 fn decide(scheduler: &mut Scheduler, found: &[Candidate], now: Instant) -> Vec<(u64, String)> {
     let found: Rc<[Candidate]> = found.into();
-    let decisions = scheduler.decide(now, |_, _, _| found.clone());
+    let decisions = scheduler.decide(&Pauses::default(), now, |_, _, _| found.clone());
     decisions
         .into_iter()
         .filter_map(|decision| match decision {
@@ -52,6 +53,33 @@
         .collect()
 }
 
+/// An overload of one replica as one gateway sees it: the replica has asked that gateway for a pause,
+/// and goes on to serve the others.
+#[test]
+fn a_replica_is_assigned_no_job_of_a_host_that_it_asked_for_a_pause() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new(scheduler::Config::default());
+    let mut pauses = Pauses::default();
+    let until = now + Duration::from_secs(2);
+    pauses.set("host1", [("r1".to_owned(), until)].into());
+    let found: Rc<[Candidate]> = Rc::new([candidate("r1", "a"), candidate("r2", "b")]);
+    let mut assigned = |job: Job, pauses: &Pauses, now: Instant| {
+        scheduler.add(job);
+        let decisions = scheduler.decide(pauses, now, |_, _, _| found.clone());
+        match decisions.as_slice() {
+            [Decision::Send { replica, .. }] => replica.clone(),
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(assigned(job(1, now), &pauses, now), "r2");
+    let of_another_host = Job {
+        host: "host2".to_owned(),
+        ..job(2, now)
+    };
+    assert_eq!(assigned(of_another_host, &pauses, now), "r1");
+    assert_eq!(assigned(job(3, until), &pauses, until), "r1");
+}
+
 /// A burst of requests of one class. Prompts that a replica processes between tokens lengthen the
 /// pauses in its running streams. The prompts that are sent to a replica within the time of three
 /// tokens must fit the objective for pauses.
@@ -160,7 +188,7 @@
     assert_eq!(decide(&mut scheduler, &found, now), [(3, "r1".to_owned())]);
     let found: Rc<[Candidate]> = found.as_slice().into();
     let later = now + Duration::from_millis(10);
-    let decisions = scheduler.decide(later, |_, _, _| found.clone());
+    let decisions = scheduler.decide(&Pauses::default(), later, |_, _, _| found.clone());
     assert_eq!(
         decisions,
         [Decision::Refuse {
@@ -176,9 +204,13 @@
     let now = Instant::now();
     let mut scheduler = Scheduler::new(scheduler::Config::default());
     scheduler.add(job(1, now));
-    assert!(scheduler.decide(now, |_, _, _| Rc::new([])).is_empty());
+    assert!(
+        scheduler
+            .decide(&Pauses::default(), now, |_, _, _| Rc::new([]))
+            .is_empty()
+    );
     let later = now + Duration::from_millis(2800);
-    let decisions = scheduler.decide(later, |_, _, _| Rc::new([]));
+    let decisions = scheduler.decide(&Pauses::default(), later, |_, _, _| Rc::new([]));
     assert_eq!(
         decisions,
         [Decision::Refuse {
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -16,7 +16,7 @@
     retry_budget::{self, RetryBudget},
     view::View,
 };
-use crate::testing::cases;
+use crate::{admission::Origin, testing::cases};
 
 fn check_split(pieces: &[&str], expected: &[&str], last_id: Option<u64>, partial: &str) {
     let mut splitter = EventSplitter::default();
@@ -283,10 +283,89 @@
         };
         match choose(view, &requirements, now) {
             Choice::Send(upstream, version) => Some((upstream.name.clone(), version)),
-            Choice::NoReplica | Choice::NoUpstream => None,
+            Choice::NoReplica | Choice::NoUpstream | Choice::Paused(_) => None,
         }
     }
 
+    /// A release: the replica that has announced its leaving in an answer gets nothing new.
+    #[test]
+    fn a_replica_that_leaves_is_not_selected() {
+        let mut view = view();
+        let now = Instant::now();
+        view.admission.record_leaving("r1", Origin::Answer, now);
+        assert_eq!(selected(&view, &[], now).unwrap().0, "r2");
+        view.admission.record_leaving("r2", Origin::Answer, now);
+        assert_eq!(selected(&view, &[], now), None);
+    }
+
+    /// An overload of one replica: the others take its requests during its pause.
+    #[test]
+    fn a_replica_that_asked_for_a_pause_is_passed_over_until_its_end() {
+        let mut view = view();
+        let now = Instant::now();
+        view.admission
+            .record_pause("r1", Duration::from_secs(2), now);
+        assert_eq!(selected(&view, &[], now).unwrap().0, "r2");
+        let later = now + Duration::from_secs(2);
+        assert_eq!(selected(&view, &[], later).unwrap().0, "r1");
+    }
+
+    /// An overload of a whole service: the replica whose pause ends first gets the two requests
+    /// that it may be sent, and further ones are refused until then.
+    #[test]
+    fn only_two_requests_go_to_a_service_whose_replicas_all_asked_for_a_pause() {
+        let mut view = view();
+        let now = Instant::now();
+        view.admission
+            .record_pause("r1", Duration::from_secs(90), now);
+        view.admission
+            .record_pause("r2", Duration::from_secs(2), now);
+        for _ in 0..2 {
+            assert_eq!(selected(&view, &[], now).unwrap().0, "r2");
+            view.admission.admit("r2", now).unwrap();
+        }
+        // The other one, whose pause lasts longer, is next.
+        for _ in 0..2 {
+            assert_eq!(selected(&view, &[], now).unwrap().0, "r1");
+            view.admission.admit("r1", now).unwrap();
+        }
+        let requirements = Requirements {
+            service: "llm",
+            model: Some("base"),
+            adapter: Some("base/a"),
+            tried: &[],
+            zone: "a",
+        };
+        let choice = choose(&view, &requirements, now);
+        let end = now + Duration::from_secs(2);
+        assert!(
+            matches!(choice, Choice::Paused(until) if until == end),
+            "{choice:?}"
+        );
+        assert_eq!(selected(&view, &[], end).unwrap().0, "r2");
+    }
+
+    /// An unreadable entry hides a leaving replica from one reading of the list.
+    #[test]
+    fn a_departure_outlasts_a_gap_in_the_list() {
+        let mut view = view();
+        let now = Instant::now();
+        view.admission.record_leaving("r1", Origin::Answer, now);
+        for (number, names) in [(2, &["r2"][..]), (3, &["r1", "r2"])] {
+            let upstreams = names.iter().map(|name| upstream(name, "a")).collect();
+            view.apply_list(&List { number, upstreams }, now);
+        }
+        let residencies = vec![residency("r1", 1)];
+        view.apply(
+            &Notice {
+                residencies,
+                ..Notice::default()
+            },
+            now,
+        );
+        assert_eq!(selected(&view, &[], now).unwrap().0, "r2");
+    }
+
     #[test]
     fn a_replica_in_the_gateways_zone_is_preferred_unless_it_is_busier() {
         let mut view = view();
--- a/crates/tanagershift/src/gateway/upstream_list.rs
+++ b/crates/tanagershift/src/gateway/upstream_list.rs
@@ -29,9 +29,9 @@
         let request = ApiRequest::get(gateway.dialect.list_path(token.as_deref()));
         gateway.metrics.list_reads.inc();
         let response = client::fetch(&gateway.pool, address, &request, PAGE_TIMEOUT).await;
-        let (status, body) = response.map_err(|error| error.to_string())?;
-        if !status.is_success() {
-            return Err(format!("the platform answered {status}"));
+        let (head, body) = response.map_err(|error| error.to_string())?;
+        if !head.status.is_success() {
+            return Err(format!("the platform answered {}", head.status));
         }
         let page = gateway.dialect.parse_list_page(&body)?;
         if page.unreadable > 0 {
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -2,7 +2,7 @@
 //! on which replicas, and the load of the replicas.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -11,10 +11,10 @@
 
 use super::{
     configuration::Configuration,
-    message::{Counts, Demand, List, Notice, Residency, Upstream},
+    message::{Counts, Demand, List, Notice, Pause, Residency, Upstream},
     placement::FIRST_VERSION,
 };
-use crate::id;
+use crate::{admission::Admission, id};
 
 /// Share of the version bound during which requests may still be sent to the older version after an
 /// announcement. A request must begin to run before the bound, and it may first wait in the queue of
@@ -93,6 +93,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// Number of gateway hosts that the leader has heard from recently.
     pub hosts: u32,
+    /// Upstreams that leave or have asked this host for a pause.
+    pub admission: Admission,
     list_number: u64,
     /// Upstream names in the order of the list.
     list_order: Vec<id::Upstream>,
@@ -121,7 +123,7 @@
     /// Applies a notice of the leader, except for its configuration.
     pub fn apply(&mut self, notice: &Notice, now: Instant) {
         if let Some(list) = &notice.list {
-            self.apply_list(list);
+            self.apply_list(list, now);
         }
         if notice.is_snapshot {
             self.residencies.clear();
@@ -150,7 +152,7 @@
 
     /// Replaces the upstream list. Upstreams that are no longer listed are dropped together with
     /// their residencies.
-    pub fn apply_list(&mut self, list: &List) {
+    pub fn apply_list(&mut self, list: &List, now: Instant) {
         let mut known = std::mem::take(&mut self.upstreams);
         for upstream in &list.upstreams {
             let mut entry = known
@@ -177,6 +179,8 @@
         }
         self.residencies
             .retain(|_, residencies| !residencies.is_empty());
+        let names: BTreeSet<&str> = self.list_order.iter().map(String::as_str).collect();
+        self.admission.retain_listed(&names, now);
     }
 
     fn apply_residency(&mut self, residency: &Residency) {
@@ -295,6 +299,32 @@
         }
     }
 
+    /// Listed upstreams that have announced to this gateway that they leave, as long as the leader
+    /// has not told it the same.
+    pub fn unconfirmed_departures(&self) -> Vec<id::Upstream> {
+        let departures = self.admission.unconfirmed();
+        let listed = departures.filter(|name| self.upstreams.contains_key(*name));
+        listed.cloned().collect()
+    }
+
+    /// Pauses that upstreams have asked this gateway for.
+    pub fn pauses(&self, now: Instant) -> Vec<Pause> {
+        let pause = |(name, left): (&id::Upstream, Duration)| Pause {
+            upstream: name.clone(),
+            remaining_ms: left.as_millis() as u64,
+        };
+        self.admission.pauses(now).map(pause).collect()
+    }
+
+    /// End of the first pause to end, if every upstream of a service that does not leave has asked
+    /// this gateway for one.
+    pub fn service_paused_until(&self, service: &str, now: Instant) -> Option<Instant> {
+        let live = self.upstreams_of(service);
+        let live = live.filter(|known| !known.upstream.draining);
+        let names = live.map(|known| known.upstream.name.as_str());
+        self.admission.paused_until(names, now)
+    }
+
     /// Returns this gateway's open requests at each upstream for a tally, and remembers them as
     /// reported.
     pub fn report_open(&mut self) -> Counts {
--- a/crates/tanagershift/src/holder/driver.rs
+++ b/crates/tanagershift/src/holder/driver.rs
@@ -24,6 +24,7 @@
     replica::{Action, LoadFailure, Reason, Replica, Request, Target, Ticket},
 };
 use crate::{
+    admission::Access,
     emit,
     follower::Leader,
     id,
@@ -255,7 +256,7 @@
         let task = Task {
             name: grant.replica.clone(),
             shared: self.shared.clone(),
-            engine: Engine::new(self.shared.http.clone(), address),
+            engine: Engine::new(self.shared.http.clone(), grant.replica.clone(), address),
             replica,
             events: events.clone(),
             requests: BTreeMap::new(),
@@ -309,6 +310,21 @@
     })
 }
 
+/// Refusal of a request for an engine that takes none now.
+pub(super) fn withheld(access: Access, load: u32, now: Instant) -> Body {
+    let (reason, cause) = match access {
+        Access::Leaving { .. } => ("the engine leaves", Cause::Absent),
+        Access::Open | Access::Paused { .. } => ("the engine has asked for a pause", Cause::Busy),
+    };
+    Body::Failed(Failed {
+        verdict: Verdict::NotRun.code(),
+        reason: reason.to_owned(),
+        retry_after: access.time_left(now).unwrap_or_default().as_millis() as u64,
+        load,
+        cause: cause.into(),
+    })
+}
+
 fn cause(reason: Reason) -> Cause {
     match reason {
         Reason::Full | Reason::Late => Cause::Busy,
@@ -475,6 +491,13 @@
     }
 
     fn accept_request(&mut self, serve: Box<Serve>, responder: Responder, now: Instant) {
+        let access = self.engine.access(now);
+        if !access.is_permitted() {
+            access.log_withheld(&serve.request, &self.name, now);
+            let load = self.replica.open_requests();
+            responder.finish_now(withheld(access, load as u32, now));
+            return;
+        }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let target = Target {
--- a/crates/tanagershift/src/holder/engine.rs
+++ b/crates/tanagershift/src/holder/engine.rs
@@ -3,20 +3,27 @@
 //! Orders to load or unload go to the dynamic adapter endpoints `/v1/load_lora_adapter` and
 //! `/v1/unload_lora_adapter`, with the fencing token of the lease in a header.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use hyper_util::{
     client::legacy::{self, Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use serde::Deserialize;
 use snafu::Snafu;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
-use crate::{id, verdict::Verdict};
+use crate::{
+    admission::{Access, Admission, LEAVING_HEADER, Origin, Signal},
+    id,
+    verdict::Verdict,
+};
 
 /// Header with the fencing token of an order, which is the epoch of the lease.
 pub const FENCING_HEADER: &str = "x-fencing-token";
@@ -52,6 +59,12 @@
         /// Description of the failure.
         reason: String,
     },
+    /// The engine leaves or has asked for a pause; nothing was sent.
+    #[snafu(display("the engine takes no requests now"))]
+    Withheld {
+        /// Why the engine takes none.
+        access: Access,
+    },
     /// The exchange failed after the request may have been sent.
     #[snafu(display("exchange with the engine broke off: {reason}"))]
     Broken {
@@ -72,7 +85,7 @@
     /// Verdict on a request that failed with this error.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } => Verdict::NotRun,
+            Self::Connect { .. } | Self::Withheld { .. } => Verdict::NotRun,
             Self::Broken { .. } | Self::Status { .. } => Verdict::MayHaveRun,
         }
     }
@@ -99,11 +112,17 @@
     text
 }
 
+/// Time for which a departure of an engine is kept. An engine keeps its name when it restarts, and
+/// one that leaves ends well within this time.
+pub const DEPARTURE_TTL: Duration = Duration::from_secs(30);
+
 /// Client of one engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
     http: Http,
+    name: id::Upstream,
     address: String,
+    admission: Arc<Mutex<Admission>>,
 }
 
 #[derive(Deserialize)]
@@ -132,8 +151,32 @@
 
 impl Engine {
     /// Makes a client for the engine at `address`.
-    pub fn new(http: Http, address: String) -> Self {
-        Self { http, address }
+    pub fn new(http: Http, name: id::Upstream, address: String) -> Self {
+        let admission = Admission::with_departure_ttl(DEPARTURE_TTL);
+        Self {
+            http,
+            name,
+            address,
+            admission: Arc::new(Mutex::new(admission)),
+        }
+    }
+
+    fn admission(&self) -> MutexGuard<'_, Admission> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the engine takes requests now.
+    pub fn access(&self, now: Instant) -> Access {
+        self.admission().access(&self.name, now)
+    }
+
+    fn observe(&self, status: StatusCode, headers: &HeaderMap, origin: Origin) {
+        let leaving = headers.contains_key(LEAVING_HEADER);
+        let signal = Signal::from_head(status, headers, leaving);
+        let now = Instant::now();
+        self.admission().observe(&self.name, signal, origin, now);
     }
 
     /// Lists the names of the adapters that the engine has loaded.
@@ -229,6 +272,7 @@
                 .await
                 .map_err(|error| classify(&error))?;
             let status = answer.status();
+            self.observe(status, answer.headers(), Origin::Order);
             let body = Limited::new(answer.into_body(), ANSWER_LIMIT_BYTES)
                 .collect()
                 .await;
@@ -247,7 +291,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Connect`] if nothing was sent, [`Error::Broken`] if the request may have run.
+    /// [`Error::Connect`] or [`Error::Withheld`] if nothing was sent, [`Error::Broken`] if the request
+    /// may have run.
     pub async fn complete(
         &self,
         path: &str,
@@ -261,10 +306,14 @@
             .map_err(|error| Error::Connect {
                 reason: error.to_string(),
             })?;
-        self.http
-            .request(request)
-            .await
-            .map_err(|error| classify(&error))
+        if let Err(access) = self.admission().admit(&self.name, Instant::now()) {
+            access.log_withheld(id, &self.name, Instant::now());
+            return WithheldSnafu { access }.fail();
+        }
+        let response = self.http.request(request).await;
+        let response = response.map_err(|error| classify(&error))?;
+        self.observe(response.status(), response.headers(), Origin::Answer);
+        Ok(response)
     }
 }
 
--- a/crates/tanagershift/src/holder/exchange.rs
+++ b/crates/tanagershift/src/holder/exchange.rs
@@ -10,9 +10,11 @@
 
 use super::{
     answer::{self, Check, Stream},
+    driver::withheld,
     engine::{self, Engine},
 };
 use crate::{
+    admission::Access,
     completion, emit,
     link::{self, Responder},
     verdict::Verdict,
@@ -67,6 +69,11 @@
     let body = match outcome {
         Ok(()) => Body::End(End { load }),
         Err(failure) => {
+            if let Some(access) = failure.withheld {
+                let refusal = withheld(access, load, Instant::now());
+                let _ = responder.finish(refusal).await;
+                return false;
+            }
             if failure.mismatch {
                 emit!(
                     MISMATCH,
@@ -99,6 +106,8 @@
     lost: bool,
     /// Whether the engine sent the answer of another request, model or completion.
     mismatch: bool,
+    /// Why the engine takes no requests now, if nothing was sent for that reason.
+    withheld: Option<Access>,
 }
 
 impl Failure {
@@ -108,6 +117,20 @@
             reason: reason.into(),
             lost: false,
             mismatch: false,
+            withheld: None,
+        }
+    }
+}
+
+impl From<engine::Error> for Failure {
+    fn from(error: engine::Error) -> Self {
+        let withheld = match error {
+            engine::Error::Withheld { access } => Some(access),
+            _ => None,
+        };
+        Self {
+            withheld,
+            ..Self::new(error.verdict(), error.to_string())
         }
     }
 }
@@ -138,7 +161,7 @@
     let answer = engine
         .complete(&serve.path, &serve.request, body)
         .await
-        .map_err(|error| Failure::new(error.verdict(), error.to_string()))?;
+        .map_err(Failure::from)?;
     check_id(&answer, &serve.request)?;
     let status = answer.status();
     if status == StatusCode::NOT_FOUND {
--- a/crates/tanagershift/src/lib.rs
+++ b/crates/tanagershift/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions out. A driver beside each does the input and output.
 
 pub mod admin;
+pub mod admission;
 pub mod catalog;
 pub mod clock;
 pub mod completion;
--- a/crates/tanagershift/src/tests/mod.rs
+++ b/crates/tanagershift/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tables of input from outside: settings, operators' files, callers' bodies, frames.
 
+mod admission;
 mod completion;
 mod event;
 mod operator;
