quorum: elect a leader at once after all voters have restarted

Callers meanwhile got 503 from hosts without a configuration. Change: voters ask each other whether all have restarted; then votes are requested at once, and all of them must be granted, so that whoever led before has given up its lease. The host that sent the last orders is recorded in the log; it is preferred, and orders at once when it leads again. A leader orders only within 45% of an election timeout after a heartbeat round, so the next one waits that much less. Connection attempts between hosts are staggered. Requests wait up to 0.9 s, half of their time at most, for the first configuration and list.

--- a/crates/tanagershift/src/daemon.rs
+++ b/crates/tanagershift/src/daemon.rs
@@ -187,6 +187,7 @@
         store: settings.store.clone(),
         snapshot_every: voter.snapshot_every,
         seed,
+        leader_orders: false,
         reopen: false,
     };
     let (handle, run) = driver::start(config, pool.clone(), list.clone())?;
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -169,6 +169,7 @@
         self.gateway.metrics.version.set(version as i64);
         *self.gateway.configuration_text() = Some((version, text));
         self.gateway.view().configuration = Some(Arc::new(configuration));
+        self.gateway.configured.send_replace(true);
     }
 
     /// Sends tallies to the leader, until the process ends.
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -205,6 +205,7 @@
         store: settings.store.clone(),
         snapshot_every: voter.snapshot_every,
         seed: rand::random(),
+        leader_orders: true,
         reopen: true,
     };
     // The voter's own list stays empty: on a host with a gateway, the hub reads the platform's
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -17,7 +17,7 @@
     Gateway,
     ask::{Answer, ask},
     choose::{Choice, Requirements, choose},
-    configuration::{Configuration, Route, RouteKind},
+    configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{FailedAttempt, Job, SelectedUpstream, UpstreamResponse, exchange},
     relay::{Body, Stream, StreamTiming},
 };
@@ -33,6 +33,11 @@
 const ROUTES_STALE_AFTER: Duration = Duration::from_millis(1000);
 /// Longest wait for a change in adapter placement before an upstream is selected again.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
+/// Longest time for which a request waits for a host that has just started to learn the configuration
+/// and the upstreams.
+const STARTUP_WAIT: Duration = Duration::from_millis(900);
+/// Time after the start of a host from which requests do not wait for its first configuration.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Longest time for a request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -109,18 +114,30 @@
     trace: &mut Trace,
 ) -> Result<Response<Body>, Rejection> {
     let received_at = Instant::now();
-    let configuration = gateway.view().configuration.clone();
-    let Some(configuration) = configuration else {
-        return Err(Rejection::retry_later("no configuration yet"));
+    let (head, mut body) = request.into_parts();
+    let known = gateway.view().configuration.clone();
+    let (configuration, read) = match known {
+        Some(configuration) => (configuration, None),
+        None => {
+            // Callers give up on a request that is not read, so it is read before the wait.
+            let limit = Limits::default().max_body_bytes;
+            let read = read_body(&mut body, limit)
+                .await
+                .map_err(|rejection| Rejection::retry_later(rejection.reason))?;
+            let wait_until = received_at + startup_wait(gateway, &head);
+            (await_configuration(gateway, wait_until).await?, Some(read))
+        }
     };
-    let (head, body) = request.into_parts();
     let is_current = gateway.heard_leader_within(ROUTES_STALE_AFTER);
     let route = find_route(&configuration, &head, is_current)?;
     let caller_head = gateway
         .dialect
         .parse_request_head(&head)
         .map_err(|malformed| Rejection::new(StatusCode::BAD_REQUEST, malformed.0))?;
-    let body = read_body(body, configuration.limits.max_body_bytes).await?;
+    let body = match read {
+        Some(read) => read,
+        None => read_body(&mut body, configuration.limits.max_body_bytes).await?,
+    };
     let limit = caller_head
         .timeout
         .map_or(route.timeout, |timeout| timeout.min(route.timeout));
@@ -142,6 +159,33 @@
     serve(gateway, job, trace).await
 }
 
+/// Time for which a request may wait for a host that has just started: it leaves the caller at least
+/// as much time for the service.
+fn startup_wait(gateway: &Gateway, head: &request::Parts) -> Duration {
+    let caller_head = gateway.dialect.parse_request_head(head);
+    let patience = caller_head.ok().and_then(|head| head.timeout);
+    patience.map_or(STARTUP_WAIT, |patience| STARTUP_WAIT.min(patience / 2))
+}
+
+/// Waits for the first configuration, which a host that has just started gets as soon as there is a
+/// leader.
+///
+/// # Errors
+///
+/// It does not come in time, or has not come for so long that a wait is pointless.
+async fn await_configuration(
+    gateway: &Gateway,
+    until: Instant,
+) -> Result<Arc<Configuration>, Rejection> {
+    let mut configured = gateway.configured.subscribe();
+    if gateway.started_at.elapsed() < STARTUP_TIME {
+        // However the wait ends, the configuration is looked up.
+        let _ = timeout_at(until, configured.wait_for(|configured| *configured)).await;
+    }
+    let configuration = gateway.view().configuration.clone();
+    configuration.ok_or_else(|| Rejection::retry_later("no configuration yet"))
+}
+
 /// Finds the route of a request.
 ///
 /// `is_current` says whether the configuration is known to be the newest. If it is not, a request
@@ -160,7 +204,7 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Rejection> {
+async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Rejection> {
     let read = Limited::new(body, limit).collect();
     match timeout(BODY_TIMEOUT, read).await {
         Err(_) => Err(Rejection::new(
@@ -397,6 +441,7 @@
             gateway.view().count_request(adapter);
         }
     }
+    let startup_until = job.received_at + STARTUP_WAIT.min((job.deadline - job.received_at) / 2);
     let mut wait_guard: Option<AdapterWaitGuard> = None;
     let mut changes = gateway.placement_changes.subscribe();
     loop {
@@ -430,6 +475,8 @@
                 rejection.retry_after = Some(until - now);
                 return Err(rejection);
             }
+            // The host has just started, and the list is on its way.
+            Choice::NoUpstream if now < startup_until && !has_list(gateway) => {}
             Choice::NoUpstream => {
                 return Err(Rejection::retry_later("no upstream of the service is live"));
             }
@@ -449,6 +496,10 @@
     }
 }
 
+fn has_list(gateway: &Gateway) -> bool {
+    gateway.view().has_list()
+}
+
 /// Asks the leader for a replica, again if the replica leaves or has asked this gateway for a pause,
 /// which the leader may not know yet. Returns `None` if the gateway must select one itself.
 async fn ask_leader(
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -118,9 +118,11 @@
 #[derive(Debug)]
 struct LeaderState {
     term: id::Term,
-    /// When orders may begin: by then the lease of every earlier leader has expired and none sends
-    /// orders any more.
+    /// When orders may begin: by then no other host has sent orders for the time that the platform
+    /// requires.
     orders_from: Instant,
+    /// Whether the group has recorded that this host sends the orders.
+    is_holder: bool,
     placement: Placement,
     scheduler: Scheduler,
     requests: BTreeMap<JobNumber, ReplicaRequest>,
@@ -160,6 +162,12 @@
     }
 }
 
+impl LeaderState {
+    fn may_order(&self, voter_status: &SharedStatus, now: Instant) -> bool {
+        self.is_holder && now >= self.orders_from && voter_status.may_order()
+    }
+}
+
 /// The hub of one voter; it acts only while the voter leads.
 struct Hub {
     gateway: Arc<Gateway>,
@@ -218,7 +226,7 @@
         };
         let mut wake = state.next_notice;
         let now = Instant::now();
-        let may_order = now >= state.orders_from && self.voter_status.holds_lease();
+        let may_order = state.may_order(&self.voter_status, now);
         if now < state.orders_from {
             wake = wake.min(state.orders_from);
         }
@@ -240,12 +248,13 @@
         if status.leading_term != term {
             self.leader_state = None;
             if let Some(term) = status.leading_term {
-                self.start_leading(term);
+                self.start_leading(term, status);
             }
         }
         let Some(state) = &mut self.leader_state else {
             return;
         };
+        state.is_holder = status.holder == self.gateway.host;
         if let Some(document) = &status.document
             && document.version > state.configuration_version()
         {
@@ -277,10 +286,14 @@
         }
     }
 
-    fn start_leading(&mut self, term: id::Term) {
+    fn start_leading(&mut self, term: id::Term, status: &VoterStatus) {
         let now = Instant::now();
-        let wait = self.config.lease + LEASE_MARGIN;
-        let orders_from = if term == FIRST_TERM { now } else { now + wait };
+        let wait = (self.config.lease + LEASE_MARGIN).saturating_sub(status.order_age);
+        let continues = status.previous_holder.as_ref() == Some(&self.gateway.host);
+        let orders_from = match term == FIRST_TERM || continues {
+            true => now,
+            false => now + wait,
+        };
         log::info!(
             "event=hub.lead term={term} orders_in_ms={}",
             (orders_from - now).as_millis()
@@ -293,6 +306,7 @@
         self.leader_state = Some(LeaderState {
             term,
             orders_from,
+            is_holder: status.holder == self.gateway.host,
             placement: Placement::new(placement::Config {
                 version_grace: self.config.version_bound.mul_f64(OLD_VERSION_SHARE),
                 ..placement::Config::default()
@@ -361,7 +375,7 @@
         state.input_pending = false;
         state.sweep(now);
         state.decide(now);
-        let may_order = now >= state.orders_from && self.voter_status.holds_lease();
+        let may_order = state.may_order(&self.voter_status, now);
         for action in state.placement.tick(may_order, now) {
             carry_out(
                 &self.gateway,
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -104,6 +104,10 @@
     pub tally_wanted: Notify,
     /// Whether the host is shutting down.
     pub draining: watch::Sender<bool>,
+    /// Whether a configuration is in force.
+    pub configured: watch::Sender<bool>,
+    /// When the process started.
+    pub started_at: Instant,
     view: Mutex<View>,
     budget: Mutex<RetryBudget>,
     configuration_text: Mutex<Option<(u64, Bytes)>>,
@@ -134,6 +138,8 @@
             placement_changes: watch::Sender::new(0),
             tally_wanted: Notify::new(),
             draining: watch::Sender::new(false),
+            configured: watch::Sender::new(false),
+            started_at: Instant::now(),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
             configuration_text: Mutex::default(),
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -32,7 +32,7 @@
         body,
     };
     // Checked last, since the process may have been suspended at any point before.
-    if !voter_status.holds_lease() {
+    if !voter_status.may_order() {
         return OrderOutcome::Fenced;
     }
     let address = &upstream.address;
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -208,6 +208,11 @@
         }
     }
 
+    /// Whether any upstream list has been received.
+    pub fn has_list(&self) -> bool {
+        self.list_number > 0
+    }
+
     /// Returns the upstream with this name; `None` if it is not listed.
     pub fn upstream(&self, name: &str) -> Option<Arc<Upstream>> {
         let known = self.upstreams.get(name)?;
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use futures_util::{SinkExt, StreamExt, stream::SplitStream};
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{FuturesUnordered, SplitStream},
+};
 use snafu::Snafu;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -28,6 +31,10 @@
     wire::{Body, Cancel, Codec, Frame, Hello, Probe, Redirect, VERSION},
 };
 
+/// Time after which an unanswered connection attempt is joined by another one. A host that starts
+/// answers the new attempt at once, but the one before only when the system repeats its opening
+/// packet, after a second or more.
+const CONNECT_STAGGER: Duration = Duration::from_millis(80);
 /// Longest time to connect and greet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time without a frame after which a peer that owes one is probed, and between two probes; a busy
@@ -128,6 +135,18 @@
     shared: Arc<Shared>,
 }
 
+/// Connects with several attempts side by side; the first that succeeds counts. An attempt that is
+/// refused ends them all.
+async fn connect_staggered(address: &str) -> Result<TcpStream, String> {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(TcpStream::connect(address));
+        if let Ok(Some(connected)) = timeout(CONNECT_STAGGER, attempts.next()).await {
+            return connected.map_err(|error| error.to_string());
+        }
+    }
+}
+
 impl Link {
     /// Connects and greets.
     ///
@@ -140,9 +159,7 @@
             reason,
         };
         let connect = async {
-            let stream = TcpStream::connect(address)
-                .await
-                .map_err(|error| error.to_string())?;
+            let stream = connect_staggered(address).await?;
             // Small frames must not wait for one another, and a silent peer must be noticed.
             connection::set_socket_options(&stream).map_err(|error| error.to_string())?;
             let mut connection = Framed::new(stream, Codec::default());
--- a/crates/tanagershift/src/quorum/message.rs
+++ b/crates/tanagershift/src/quorum/message.rs
@@ -182,6 +182,10 @@
     /// Whether the previous leader transferred its leadership to this candidate.
     #[prost(bool, tag = "4")]
     pub handover: bool,
+    /// Whether the candidate takes part in a cold start. As a pre-vote, this asks whether the
+    /// receiver does too; as a vote, it says that all voters do.
+    #[prost(bool, tag = "5")]
+    pub cold: bool,
 }
 
 /// Answer to `VoteRequest`.
@@ -194,6 +198,9 @@
     /// Whether the candidate received the vote.
     #[prost(bool, tag = "2")]
     pub granted: bool,
+    /// Whether this member takes part in a cold start.
+    #[prost(bool, tag = "3")]
+    pub cold: bool,
 }
 
 /// Chunk of a snapshot.
--- a/crates/tanagershift/src/quorum/node/election.rs
+++ b/crates/tanagershift/src/quorum/node/election.rs
@@ -15,6 +15,21 @@
     quorum::message::{AppendResponse, Ballot, Body, Campaign, VoteRequest, VoteResponse},
 };
 
+/// Why a member requests votes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Election {
+    /// To learn whether it would be elected. A pre-vote does not raise the term, so a member that was
+    /// cut off cannot depose a leader that the others still hear.
+    PreVote,
+    /// A majority has granted it pre-votes.
+    Vote,
+    /// The previous leader transferred its leadership to it, so voters may vote although they heard
+    /// from that leader recently.
+    Handover,
+    /// All voters have restarted. All of them must grant their votes, whoever led before included.
+    ColdStart,
+}
+
 impl Node {
     /// Sets the next election to a random time between one and two election timeouts from now.
     ///
@@ -25,14 +40,15 @@
         self.campaign_at = now + self.config.election_timeout + jitter;
     }
 
-    /// Requests the votes, or with `pre_vote` the pre-votes, of all other voters.
-    ///
-    /// A pre-vote does not raise the term, so a member that was cut off cannot depose a leader
-    /// that the others still hear. With `handover`, the previous leader transferred its leadership
-    /// to this member, and voters may grant it their votes although they heard from that leader
-    /// recently.
-    pub(super) fn campaign(&mut self, pre_vote: bool, handover: bool, now: Instant) {
+    /// Requests the votes of all other voters.
+    pub(super) fn campaign(&mut self, election: Election, now: Instant) {
+        let pre_vote = election == Election::PreVote;
         self.leader = None;
+        self.order_age = match election {
+            Election::PreVote | Election::Vote => self.config.order_age_at_election(),
+            // An earlier leader may have sent orders until just now.
+            Election::Handover | Election::ColdStart => Duration::ZERO,
+        };
         let term = self.ballot.term + 1;
         if !pre_vote {
             self.ballot = Ballot {
@@ -41,12 +57,17 @@
             };
         }
         let votes = BTreeSet::from([self.id]);
-        self.role = Role::Candidate { pre_vote, votes };
+        self.role = Role::Candidate {
+            pre_vote,
+            unanimous: election == Election::ColdStart,
+            votes,
+        };
         let request = VoteRequest {
             pre_vote,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
-            handover,
+            handover: election == Election::Handover,
+            cold: election == Election::ColdStart,
         };
         let others: Vec<_> = self.voters().filter(|member| *member != self.id).collect();
         for member in others {
@@ -55,16 +76,26 @@
         self.count_votes(now);
     }
 
-    /// Proceeds from pre-votes to votes, or from votes to leadership, once a majority is reached.
+    /// Proceeds from pre-votes to votes, or from votes to leadership, once enough are granted.
     pub(super) fn count_votes(&mut self, now: Instant) {
-        let Role::Candidate { pre_vote, votes } = &self.role else {
+        let Role::Candidate {
+            pre_vote,
+            unanimous,
+            votes,
+        } = &self.role
+        else {
             return;
         };
-        if !self.is_majority(|member| votes.contains(&member)) {
+        let has_voted = |member| votes.contains(&member);
+        let enough = match unanimous {
+            true => self.voters().all(has_voted),
+            false => self.is_majority(has_voted),
+        };
+        if !enough {
             return;
         }
         if *pre_vote {
-            self.campaign(false, false, now);
+            self.campaign(Election::Vote, now);
         } else {
             self.become_leader(now);
         }
@@ -74,6 +105,7 @@
     ///
     /// Entries of earlier terms can only be committed along with an entry of the leader's own term.
     pub(super) fn become_leader(&mut self, now: Instant) {
+        self.cold_start = None;
         let first_index = self.log.last_index() + 1;
         self.role = Role::Leader(Box::new(Leadership {
             progress: BTreeMap::new(),
@@ -141,6 +173,7 @@
     /// Follows the leader of the term and restarts the election timeout.
     pub(super) fn record_leader_contact(&mut self, leader: id::Member, now: Instant) {
         self.become_follower(Some(leader), now);
+        self.cold_start = None;
         self.leader_heard_at = now;
         self.delay_campaign(now);
     }
@@ -153,16 +186,18 @@
         now: Instant,
     ) {
         // The request is ignored while a leader may hold its lease, unless that leader transferred
-        // its leadership.
+        // its leadership, or no leader can be left.
         let lease_may_run =
             self.holds_lease(now) || now < self.leader_heard_at + self.config.election_timeout;
-        if lease_may_run && !request.handover {
+        let cold = request.cold && self.cold_start.is_some();
+        if lease_may_run && !request.handover && !cold {
             return;
         }
         if term < self.ballot.term {
             let response = VoteResponse {
                 pre_vote: request.pre_vote,
                 granted: false,
+                cold,
             };
             self.send(from, Body::VoteResponse(response));
             return;
@@ -175,6 +210,7 @@
             let response = VoteResponse {
                 pre_vote: true,
                 granted,
+                cold,
             };
             self.send_with_term(from, response_term, Body::VoteResponse(response));
             return;
@@ -186,11 +222,13 @@
         let granted = may_vote && is_up_to_date && matches!(self.role, Role::Follower);
         if granted {
             self.ballot.voted_for = from;
+            self.cold_start = None;
             self.delay_campaign(now);
         }
         let response = VoteResponse {
             pre_vote: false,
             granted,
+            cold: false,
         };
         self.send(from, Body::VoteResponse(response));
     }
@@ -203,7 +241,14 @@
         now: Instant,
     ) {
         let requested_term = self.ballot.term + u64::from(response.pre_vote);
-        let Role::Candidate { pre_vote, votes } = &mut self.role else {
+        if response.cold && response.pre_vote {
+            let granted = response.granted && term == requested_term;
+            self.record_cold_response(from, granted, now);
+        }
+        let Role::Candidate {
+            pre_vote, votes, ..
+        } = &mut self.role
+        else {
             return;
         };
         if response.granted && *pre_vote == response.pre_vote && term == requested_term {
--- a/crates/tanagershift/src/quorum/node/mod.rs
+++ b/crates/tanagershift/src/quorum/node/mod.rs
@@ -3,10 +3,12 @@
 //! The caller passes in messages and the time, and carries out what `Node::ready` returns. This
 //! file holds the state, heartbeats, log replication and the leader's lease.
 //!
+//! * `cold_start`: the first election after all voters have restarted.
 //! * `election`: elections, vote requests and the transfer of leadership.
 //! * `membership`: adding, promoting and removing members.
 //! * `snapshot`: sending snapshots to members that lag behind the start of the log.
 
+mod cold_start;
 mod election;
 mod membership;
 mod snapshot;
@@ -28,7 +30,11 @@
     },
 };
 use crate::id;
+use cold_start::ColdStart;
+use election::Election;
 
+/// Part of the election timeout for which a heartbeat round lets the leader send orders, in percent.
+const ORDER_PERCENT: u32 = 45;
 /// Limit on the command bytes of one message; a single larger entry is still sent.
 const MAX_APPEND_BYTES: usize = 1 << 20;
 /// A member with at least this many unacknowledged entries is sent no more until it answers.
@@ -76,6 +82,22 @@
     pub fn lease_duration(&self) -> Duration {
         self.election_timeout * (100 - self.drift_percent) / 100
     }
+
+    /// Time from the start of a heartbeat round for which the leader may send orders to replicas. It
+    /// is shorter than the lease, so that the next leader need not wait as long before its own.
+    pub fn order_duration(&self) -> Duration {
+        self.election_timeout * ORDER_PERCENT / 100
+    }
+
+    /// Time that has passed since the last order of an earlier leader when a member is elected, at
+    /// the least.
+    ///
+    /// A voter grants its vote a whole election timeout after it answered that leader, on a clock
+    /// that may be fast; the leader stopped earlier, on a clock that may be slow.
+    pub fn order_age_at_election(&self) -> Duration {
+        let slowest = self.order_duration() * (100 + self.drift_percent) / 100;
+        self.lease_duration().saturating_sub(slowest)
+    }
 }
 
 /// Why a proposal is refused. A refused proposal is certain not to be committed.
@@ -160,6 +182,8 @@
     /// Requests votes, or first pre-votes, which do not raise the term.
     Candidate {
         pre_vote: bool,
+        /// Whether the votes of all voters are needed.
+        unanimous: bool,
         votes: BTreeSet<id::Member>,
     },
     Leader(Box<Leadership>),
@@ -183,6 +207,11 @@
     role: Role,
     leader: Option<id::Member>,
     leader_heard_at: Instant,
+    /// What this member knows of a cold start; `None` once it takes no part in one any more.
+    cold_start: Option<ColdStart>,
+    /// Least age of an earlier leader's last order if this member wins the election that it has
+    /// started.
+    order_age: Duration,
     /// When this member starts an election unless it hears from a leader before.
     campaign_at: Instant,
     commit_index: id::Index,
@@ -222,6 +251,8 @@
             // A vote cast before a crash may have elected a leader whose lease still runs, so a
             // restarted member grants no vote for a whole election timeout.
             leader_heard_at: now,
+            cold_start: None,
+            order_age: Duration::ZERO,
             campaign_at: now,
             commit_index: log.snapshot().index,
             applied_index: log.snapshot().index,
@@ -300,6 +331,21 @@
         Some(until)
     }
 
+    /// Time that had passed since the last order of an earlier leader when this one was elected, at
+    /// the least.
+    pub fn order_age(&self) -> Duration {
+        self.order_age
+    }
+
+    /// Time until which this member may send orders to replicas as the leader; `None` while it may
+    /// not serve as the leader.
+    pub fn orders_until(&self) -> Option<Instant> {
+        let shorter = self.config.lease_duration() - self.config.order_duration();
+        let until = self.lease_until()?;
+        // A lease that began less than this after the clock's zero has no earlier end.
+        until.checked_sub(shorter)
+    }
+
     /// Whether this member is the leader and its lease runs at the given time.
     pub fn holds_lease(&self, now: Instant) -> bool {
         self.lease_until().is_some_and(|until| now < until)
@@ -348,7 +394,7 @@
     pub fn next_tick(&self) -> Instant {
         match &self.role {
             Role::Leader(leadership) => leadership.next_heartbeat,
-            _ => self.campaign_at,
+            _ => self.next_cold_start_step().min(self.campaign_at),
         }
     }
 
@@ -372,9 +418,10 @@
         if now >= self.campaign_at {
             self.delay_campaign(now);
             if self.is_voter() {
-                self.campaign(true, false, now);
+                self.campaign(Election::PreVote, now);
             }
         }
+        self.step_cold_start(now);
     }
 
     /// Starts a heartbeat round.
@@ -570,7 +617,7 @@
             Body::VoteResponse(response) => {
                 self.handle_vote_response(from, envelope.term, response, now)
             }
-            Body::Campaign(_) if self.is_voter() => self.campaign(false, true, now),
+            Body::Campaign(_) if self.is_voter() => self.campaign(Election::Handover, now),
             Body::Campaign(_) | Body::VoteRequest(_) => {}
         }
     }
--- a/crates/tanagershift/src/quorum/safety_tests.rs
+++ b/crates/tanagershift/src/quorum/safety_tests.rs
@@ -70,6 +70,7 @@
         last_index: 9,
         last_term: 9,
         handover: false,
+        cold: false,
     })
 }
 
@@ -137,6 +138,7 @@
         let vote = Body::VoteResponse(VoteResponse {
             pre_vote,
             granted: true,
+            cold: false,
         });
         let term = node.term() + u64::from(pre_vote);
         node.receive(message(2, term, vote), later);
--- a/crates/tanagershift/src/quorum/tests.rs
+++ b/crates/tanagershift/src/quorum/tests.rs
@@ -154,15 +154,21 @@
     }
 
     fn restart(&mut self, index: usize) {
-        let now = self.now(index);
         let seed = self.random.random();
+        self.restart_as(index, seed % 3 == 0, seed);
+    }
+
+    /// Restarts a process; in a cold start, `preferred` gives it a lead over the others.
+    fn restart_as(&mut self, index: usize, preferred: bool, seed: u64) {
+        let now = self.now(index);
         let process = &mut self.processes[index];
         let disk = process.disk.clone();
         let snapshot = disk.log.snapshot();
         process.applied = snapshot.index;
         process.state = state_of(snapshot);
         let config = Config::default();
-        let node = Node::new(process.id, 9, config, disk.ballot, disk.log, seed, now);
+        let mut node = Node::new(process.id, 9, config, disk.ballot, disk.log, seed, now);
+        node.begin_cold_start(preferred, now);
         process.node = Some(node);
         process.frozen = 0;
     }
@@ -378,6 +384,16 @@
                     self.carry_out(index, false);
                 }
             }
+            60..63 => {
+                // All hosts lose power; each is back a little later, or at once.
+                let at_once = self.random.random_bool(0.5);
+                for index in 0..self.processes.len() {
+                    self.processes[index].node = None;
+                    if at_once && !self.processes[index].lost {
+                        self.restart(index);
+                    }
+                }
+            }
             _ => {}
         }
     }
@@ -551,3 +567,113 @@
         five_voters_survive_lost_disks: (30, 5, 3);
     }
 }
+
+/// Advances until a member holds the lease; returns its index, and how long that took.
+fn await_leader(group: &mut Group) -> (usize, Duration) {
+    let began = group.elapsed;
+    loop {
+        group.advance();
+        let holds = |index: &usize| {
+            let node = &group.processes[*index].node;
+            let now = group.now(*index);
+            node.as_ref().is_some_and(|node| node.holds_lease(now))
+        };
+        if let Some(index) = (0..group.processes.len()).find(holds) {
+            return (index, group.elapsed - began);
+        }
+        let took = group.elapsed - began;
+        assert!(took < Config::default().election_timeout * 10, "no leader");
+    }
+}
+
+/// A group of three without faults that has a leader.
+fn healthy_group(seed: u64) -> Group {
+    let mut group = Group::new(seed, 3);
+    (group.faulty, group.loss) = (false, 0.0);
+    await_leader(&mut group);
+    group.propose();
+    for _ in 0..20 {
+        group.advance();
+    }
+    group
+}
+
+/// All hosts lose power and are back together: the group need not wait until leases have expired.
+#[test]
+fn voters_that_have_all_restarted_elect_the_preferred_one_at_once() {
+    for_seeds(40, |seed| {
+        let mut group = healthy_group(seed);
+        let preferred = (seed % 3) as usize;
+        // What is on its way is lost with the hosts.
+        group.network.clear();
+        for index in 0..3 {
+            group.processes[index].node = None;
+        }
+        for index in 0..3 {
+            group.restart_as(index, index == preferred, seed + index as u64);
+        }
+        let (leader, took) = await_leader(&mut group);
+        let limit = Config::default().election_timeout / 2;
+        assert!(took < limit, "{took:?}");
+        assert_eq!(leader, preferred);
+        let node = group.processes[leader].node.as_ref();
+        assert_eq!(node.unwrap().order_age(), Duration::ZERO);
+    });
+}
+
+/// A leader that still runs keeps its lease, whoever restarts around it.
+#[test]
+fn voters_that_restart_beside_a_leader_elect_nobody() {
+    for_seeds(40, |seed| {
+        let mut group = healthy_group(seed);
+        let (leader, _) = await_leader(&mut group);
+        let term = group.processes[leader].node.as_ref().unwrap().term();
+        // The leader is cut off, so the others hear nothing from it.
+        let id = group.processes[leader].id;
+        group.partition_sides.insert(id, 1);
+        for index in (0..3).filter(|index| *index != leader) {
+            group.processes[index].node = None;
+            group.restart_as(index, true, seed);
+        }
+        let lease = Config::default().lease_duration();
+        let until = group.elapsed + lease;
+        while group.elapsed < until {
+            group.advance();
+            let terms = group.processes.iter().filter_map(|one| one.node.as_ref());
+            assert!(terms.clone().all(|node| node.term() == term));
+        }
+    });
+}
+
+/// The next leader may count the time since the last order from its election on: it is at least as
+/// long as the configuration says, also when clocks run apart.
+#[test]
+fn orders_of_a_lost_leader_end_well_before_the_next_election() {
+    for_seeds(60, |seed| {
+        let mut group = healthy_group(seed);
+        let (leader, _) = await_leader(&mut group);
+        let id = group.processes[leader].id;
+        group.partition_sides.insert(id, 1);
+        let mut last_order = group.elapsed;
+        let elected = loop {
+            group.advance();
+            let now = group.now(leader);
+            let old = group.processes[leader].node.as_ref().unwrap();
+            if old.orders_until().is_some_and(|until| now < until) {
+                last_order = group.elapsed;
+            }
+            let mut others = (0..3).filter(|index| *index != leader);
+            let leads = |index: usize| group.processes[index].node.as_ref().unwrap().leads();
+            if let Some(next) = others.find(|index| leads(*index)) {
+                break next;
+            }
+        };
+        let age = group.processes[elected].node.as_ref().unwrap().order_age();
+        assert!(!age.is_zero());
+        assert!(
+            group.elapsed - last_order >= age,
+            "{:?}",
+            group.elapsed - last_order
+        );
+    });
+}
--- a/crates/tanagershift/src/voter/command.rs
+++ b/crates/tanagershift/src/voter/command.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub at: u64,
     /// Operation to apply; a command without one changes nothing.
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub order: Option<Order>,
 }
 
@@ -45,6 +45,18 @@
     /// Announces a version of an adapter's weights.
     #[prost(message, tag = "9")]
     Announce(Announcement),
+    /// Records which host sends the orders to replicas from now on.
+    #[prost(message, tag = "10")]
+    Holder(Holder),
+}
+
+/// The host that sends the orders to replicas.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Holder {
+    /// Name of the host.
+    #[prost(string, tag = "1")]
+    pub host: String,
 }
 
 /// A complete routing configuration as the operator sent it.
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    command::{Assign, Command, Effect, MemberChange, Order, Outcome},
+    command::{Assign, Command, Effect, Holder, MemberChange, Order, Outcome},
     feed::{catch_up, pack, routes, send_updates},
     folder::{identity_report, wait_for_group},
     lease::{self, Leases},
@@ -80,6 +80,9 @@
     /// Seed of the random election timeouts. Unless `reopen` is set, it is also the identity of a
     /// new data folder; zero then counts as one.
     pub seed: u64,
+    /// Whether the leader's host is the one that sends orders to replicas, so that a new leader
+    /// records it.
+    pub leader_orders: bool,
     /// Whether the voter opens its files again after a failure instead of stopping.
     pub reopen: bool,
 }
@@ -170,6 +173,8 @@
     /// The whole catalog at a revision, encoded for hosts that need all of it.
     packed: Option<(id::Revision, Vec<Bytes>)>,
     next_assign_at: Instant,
+    /// Host that sent the orders before; `None` until all that earlier leaders committed is applied.
+    previous_holder: Option<id::Host>,
     /// Whether an assignment was proposed and has not been applied yet.
     assignment_pending: bool,
 }
@@ -225,8 +230,10 @@
         status: status.clone(),
     };
     let run = async move {
+        let mut first_run = true;
         loop {
-            let error = match run(&config, &pool, &upstream_list, &mut queue, &status).await {
+            let cold = std::mem::take(&mut first_run);
+            let error = match run(&config, &pool, &upstream_list, &mut queue, &status, cold).await {
                 Ok(never) => match never {},
                 Err(error) => error,
             };
@@ -277,6 +284,7 @@
     upstream_list: &watch::Receiver<List>,
     queue: &mut mpsc::Receiver<Input>,
     status: &SharedStatus,
+    cold: bool,
 ) -> Result<Never, Error> {
     let seed = config.seed;
     let new_identity = || {
@@ -304,6 +312,9 @@
         upstream_list.clone(),
         status.clone(),
     )?;
+    if cold {
+        voter.begin_cold_start();
+    }
     loop {
         voter.run_once(queue).await?;
     }
@@ -353,6 +364,50 @@
         })
     }
 
+    /// Takes part in a cold start. The host that sent the last orders is preferred, since it may go
+    /// on at once.
+    fn begin_cold_start(&mut self) {
+        let log = self.node.log();
+        let indexes = (self.applied + 1..=log.last_index()).rev();
+        let mut holders = indexes.filter_map(|index| {
+            let command = Command::decode(log.get(index)?.data.clone()).ok()?;
+            match command.order {
+                Some(Order::Holder(holder)) => Some(holder.host),
+                _ => None,
+            }
+        });
+        let holder = holders.next();
+        let holder = holder.as_deref().unwrap_or(self.state.holder());
+        let preferred = holder == self.config.host;
+        self.node.begin_cold_start(preferred, clock::now());
+    }
+
+    /// Records this host as the one that sends orders, once all that earlier leaders committed is
+    /// applied.
+    fn record_holder(&mut self) -> Result<(), Error> {
+        let Some(leader_state) = &mut self.leader_state else {
+            return Ok(());
+        };
+        if !self.config.leader_orders || leader_state.previous_holder.is_some() {
+            return Ok(());
+        }
+        let previous = self.state.holder().to_owned();
+        let is_same = previous == self.config.host;
+        leader_state.previous_holder = Some(previous);
+        if is_same {
+            return Ok(());
+        }
+        let holder = Holder {
+            host: self.config.host.clone(),
+        };
+        let mut command = Command::of(Order::Holder(holder));
+        command.at = wall_clock_millis().max(self.state.latest_millis());
+        if let Ok((index, term)) = self.node.propose(command.encode_to_vec().into()) {
+            self.proposals.insert(index, (term, None));
+        }
+        self.process_all_ready()
+    }
+
     /// Waits for an input or a timer, handles the queued inputs, and does the resulting work:
     /// leader decisions, disk writes, messages, applied commands and the published status.
     async fn run_once(&mut self, queue: &mut mpsc::Receiver<Input>) -> Result<(), Error> {
@@ -377,6 +432,7 @@
         self.node.tick(now);
         self.decide_as_leader(now);
         self.process_all_ready()?;
+        self.record_holder()?;
         self.answer_confirmed_reads();
         self.publish_status();
         Ok(())
@@ -405,12 +461,17 @@
 
     fn publish_status(&mut self) {
         let lease_until = self.node.lease_until();
-        self.status
-            .set_leadership_times(lease_until, self.node.leader_heard_at());
+        self.status.set_leadership_times(
+            lease_until,
+            self.node.orders_until(),
+            self.node.leader_heard_at(),
+        );
         if *self.announced != *self.state.announced() {
             self.announced = Arc::new(self.state.announced().clone());
         }
         let may_lead = self.leader_state.is_some() && lease_until.is_some();
+        let leader_state = self.leader_state.as_ref().filter(|_| may_lead);
+        let previous_holder = leader_state.and_then(|state| state.previous_holder.clone());
         let leader = self.node.leader();
         self.status.publish(VoterStatus {
             group: self.node.group(),
@@ -420,6 +481,9 @@
             leader: leader.map_or(String::new(), |leader| leader.address.clone()),
             document: self.state.document().cloned(),
             announced: self.announced.clone(),
+            holder: self.state.holder().to_owned(),
+            previous_holder,
+            order_age: self.node.order_age(),
         });
     }
 
@@ -658,6 +722,7 @@
                 packed: None,
                 routes: routes(&self.state, self.node.term() << 32),
                 next_assign_at: now,
+                previous_holder: None,
                 assignment_pending: false,
             }
         });
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -86,6 +86,8 @@
     document: Option<Document>,
     #[prost(message, repeated, tag = "11")]
     announced: Vec<Announcement>,
+    #[prost(string, tag = "12")]
+    holder: String,
 }
 
 /// An item and the revision that accepted it.
@@ -117,6 +119,8 @@
     latest_millis: u64,
     document: Option<Document>,
     announced: BTreeMap<String, u64>,
+    /// Host that sends the orders to replicas; empty before the first.
+    holder: id::Host,
 }
 
 impl State {
@@ -150,6 +154,11 @@
         &self.announced
     }
 
+    /// Host that sends the orders to replicas; empty before the first.
+    pub fn holder(&self) -> &str {
+        &self.holder
+    }
+
     /// Number of claims that are kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -213,6 +222,10 @@
             Some(Order::Member(change)) => Effect::Done(self.record_member_change(change)),
             Some(Order::Configure(document)) => Effect::Done(self.configure(document)),
             Some(Order::Announce(announcement)) => Effect::Done(self.announce(announcement)),
+            Some(Order::Holder(holder)) => {
+                self.holder.clone_from(&holder.host);
+                Effect::Done(String::new())
+            }
             None => Effect::Done(String::new()),
         };
         Outcome::of(effect)
@@ -449,6 +462,7 @@
             at: self.latest_millis,
             document: self.document.clone(),
             announced: self.announcements().collect(),
+            holder: self.holder.clone(),
         };
         let mut bytes = image.encode_to_vec();
         // Items are encoded one at a time; collecting them first would take several times the memory
@@ -489,6 +503,7 @@
             audit: image.audit.into(),
             latest_millis: image.at,
             document: image.document,
+            holder: image.holder,
             announced: image
                 .announced
                 .into_iter()
--- a/crates/tanagershift/src/voter/status.rs
+++ b/crates/tanagershift/src/voter/status.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use tokio::{sync::watch, time::Instant};
@@ -30,6 +31,13 @@
     pub document: Option<Document>,
     /// Highest announced version of each adapter.
     pub announced: Arc<BTreeMap<String, u64>>,
+    /// Host that sends the orders to replicas; empty before the first.
+    pub holder: id::Host,
+    /// Host that sent them before this voter led; `None` while it does not lead.
+    pub previous_holder: Option<id::Host>,
+    /// Time that had passed since the last order of an earlier leader when this one was elected, at
+    /// the least.
+    pub order_age: Duration,
 }
 
 impl VoterStatus {
@@ -45,6 +53,8 @@
 struct LeadershipTimes {
     /// End of the leader's lease; `None` if this voter cannot act as the leader.
     lease_until: Option<Instant>,
+    /// Time until which this voter may send orders to replicas.
+    orders_until: Option<Instant>,
     /// When this voter last heard from a leader; the start of its run if it never has.
     last_heard: Option<Instant>,
 }
@@ -77,10 +87,17 @@
         });
     }
 
-    /// Sets the end of this voter's lease as the leader, and when it last heard from a leader.
-    pub(super) fn set_leadership_times(&self, lease_until: Option<Instant>, last_heard: Instant) {
+    /// Sets the end of this voter's lease as the leader, the time until which it may send orders, and
+    /// when it last heard from a leader.
+    pub(super) fn set_leadership_times(
+        &self,
+        lease_until: Option<Instant>,
+        orders_until: Option<Instant>,
+        last_heard: Instant,
+    ) {
         let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
         times.lease_until = lease_until;
+        times.orders_until = orders_until;
         times.last_heard = Some(last_heard);
     }
 
@@ -100,6 +117,12 @@
         times.lease_until.is_some_and(|until| clock::now() < until)
     }
 
+    /// Whether this voter may send orders to replicas now.
+    pub fn may_order(&self) -> bool {
+        let times = *self.times.lock().unwrap_or_else(PoisonError::into_inner);
+        times.orders_until.is_some_and(|until| clock::now() < until)
+    }
+
     /// When this voter last heard from a leader; `None` until it first runs in a group.
     pub fn last_heard(&self) -> Option<Instant> {
         let times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
