hub: residencies follow later and slowly; a vote request assigns no folder

Cause 1: after all hosts of the large site are back, 200 gateways each got the list with every replica's adapters, all residencies, and their changes again as replicas report: 13 MB each time through the leader's 100 Mbit/s. Change: gateways get the list without adapters at once; all residencies come from one second after the election on, at 2 MB/s over all gateways, and until then no changes of them. A voter that probes for a cold start reached another one before the message that assigns its folder with the members; any message of the log assigned it, with no members, so that it never voted for itself. Change: only messages that leaders send assign a folder.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -51,6 +51,9 @@
 /// Added to the lease duration for which a new leader waits before it sends orders, since the
 /// clocks of hosts drift apart.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
+/// Time after the election in which replicas report what they have loaded, before gateways are sent
+/// all residencies.
+const FIRST_SNAPSHOT_DELAY: Duration = Duration::from_millis(1000);
 /// Time after an announcement during which the leader still assigns requests to the older version,
 /// as a share of the platform's bound. It ends before gateways stop using that version by
 /// themselves.
@@ -95,6 +98,8 @@
 #[derive(Debug)]
 struct Watcher {
     host: id::Host,
+    /// Whether the gateway must still be sent all residencies.
+    needs_snapshot: bool,
     queue: mpsc::Sender<Notice>,
 }
 
@@ -148,6 +153,8 @@
     /// Changes of the placement that were not yet sent to all gateways.
     residency_changes: Vec<Residency>,
     next_notice: Instant,
+    /// Earliest time at which the next gateway is sent all residencies.
+    next_snapshot: Instant,
     next_summary: Instant,
     /// The newest configuration; a gateway that falls behind skips to it.
     configuration: watch::Sender<Option<Arc<ConfigurationHistory>>>,
@@ -225,6 +232,9 @@
             return idle;
         };
         let mut wake = state.next_notice;
+        if state.watchers.iter().any(|watcher| watcher.needs_snapshot) {
+            wake = wake.min(state.next_snapshot);
+        }
         let now = Instant::now();
         let may_order = state.may_order(&self.voter_status, now);
         if now < state.orders_from {
@@ -327,6 +337,7 @@
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
             next_notice: now,
+            next_snapshot: now + FIRST_SNAPSHOT_DELAY,
             next_summary: now,
             configuration: watch::Sender::new(None),
             announced: Arc::default(),
@@ -391,6 +402,7 @@
         if now >= state.next_notice {
             state.broadcast_update(now);
         }
+        state.send_snapshots(now);
         let ended = Instant::now();
         let pause = (ended - now) * TICK_PAUSE_FACTOR;
         state.next_tick = (now + TICK_INTERVAL).max(ended + pause);
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use prost::Message;
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -32,12 +33,16 @@
 /// Number of gateways up to which `NOTICE_INTERVAL` applies. With more, the interval grows in
 /// proportion, so that the leader's message rate stays bounded.
 const SMALL_SYSTEM_GATEWAYS: u32 = 32;
+/// Rate at which gateways are sent all residencies, over all gateways.
+const SNAPSHOT_BYTES_PER_SECOND: f64 = 2e6;
+/// Time for which that rate may be used in advance.
+const SNAPSHOT_BURST: Duration = Duration::from_millis(50);
 /// Time without a tally after which a gateway is no longer counted.
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl LeaderState {
     /// Subscribes a gateway to notices. The first notice carries all current state except the
-    /// configuration, which follows.
+    /// configuration and the residencies, which follow.
     pub(super) fn add_watcher(&mut self, watch: Watch, responder: Responder, now: Instant) {
         let (queue, receiver) = mpsc::channel(WATCHER_QUEUE_CAPACITY);
         let first = Notice {
@@ -46,11 +51,11 @@
             patch: None,
             announced: announcements(&self.announced),
             list: (self.list.number > 0).then(|| self.list.clone()),
-            residencies: self.placement.residencies(),
+            residencies: Vec::new(),
             open: None,
             voters: self.voters.clone(),
             hosts: self.gateway_count(),
-            is_snapshot: self.list.number > 0,
+            is_snapshot: false,
             interval_ms: self.notice_interval().as_millis() as u32,
             leaving: self.departing(now),
         };
@@ -62,6 +67,7 @@
         self.watchers.retain(|known| known.host != watch.host);
         self.watchers.push(Watcher {
             host: watch.host.clone(),
+            needs_snapshot: self.list.number > 0,
             queue,
         });
         self.gateways.insert(
@@ -197,23 +203,49 @@
         self.scheduler.retain_replicas(|name| listed.contains(name));
         self.unscheduled_requests
             .retain(|name, _| listed.contains(name.as_str()));
+        // Gateways learn what is loaded from residencies.
+        for upstream in &mut upstreams {
+            upstream.models.clear();
+        }
         self.list = List {
             number: self.list.number.max(self.term << 32) + 1,
             upstreams,
         };
-        let residencies = if first {
-            self.placement.residencies()
-        } else {
-            Vec::new()
-        };
+        for watcher in &mut self.watchers {
+            watcher.needs_snapshot |= first;
+        }
         self.broadcast(&Notice {
             list: Some(self.list.clone()),
-            is_snapshot: first,
-            residencies,
             ..Notice::default()
         });
     }
 
+    /// Sends all residencies to the gateways that need them, one after the other at a limited rate.
+    /// Gateways use them only without a leader, so they must not delay grants, heartbeats and
+    /// configurations on the link of the leader's host.
+    pub(super) fn send_snapshots(&mut self, now: Instant) {
+        let needing = |watcher: &Watcher| watcher.needs_snapshot;
+        if now < self.next_snapshot || !self.watchers.iter().any(needing) {
+            return;
+        }
+        let notice = self.with_common_fields(Notice {
+            residencies: self.placement.residencies(),
+            is_snapshot: true,
+            ..Notice::default()
+        });
+        let size = notice.encoded_len() as f64;
+        let time = Duration::from_secs_f64(size / SNAPSHOT_BYTES_PER_SECOND);
+        while now >= self.next_snapshot
+            && let Some(watcher) = self.watchers.iter_mut().find(|one| one.needs_snapshot)
+        {
+            watcher.needs_snapshot = false;
+            // A gateway whose queue is full is dropped at the next broadcast.
+            let _ = watcher.queue.try_send(notice.clone());
+            let earliest = now.checked_sub(SNAPSHOT_BURST).unwrap_or(now);
+            self.next_snapshot = self.next_snapshot.max(earliest) + time;
+        }
+    }
+
     /// Sums the open requests of all gateways for each replica, and updates the placement with
     /// them.
     pub(super) fn sum_open_requests(&mut self, now: Instant) -> Counts {
@@ -340,8 +372,18 @@
     /// Sends a notice to every gateway, and drops gateways whose queue is full.
     pub(super) fn broadcast(&mut self, notice: &Notice) {
         let notice = self.with_common_fields(notice.clone());
-        self.watchers
-            .retain(|watcher| watcher.queue.try_send(notice.clone()).is_ok());
+        // All residencies follow in the snapshot.
+        let without_residencies = Notice {
+            residencies: Vec::new(),
+            ..notice.clone()
+        };
+        self.watchers.retain(|watcher| {
+            let notice = match watcher.needs_snapshot {
+                true => &without_residencies,
+                false => &notice,
+            };
+            watcher.queue.try_send(notice.clone()).is_ok()
+        });
     }
 }
 
--- a/crates/tanagershift/src/quorum/tests.rs
+++ b/crates/tanagershift/src/quorum/tests.rs
@@ -677,3 +677,18 @@
         );
     });
 }
+
+/// Leaders are lost one after the other, each soon after the one before is back.
+#[test]
+fn a_leader_lost_right_after_the_restart_of_the_one_before_is_replaced() {
+    for_seeds(40, |seed| {
+        let mut group = healthy_group(seed);
+        let (first, _) = await_leader(&mut group);
+        group.processes[first].node = None;
+        let (second, _) = await_leader(&mut group);
+        group.restart_as(first, seed % 2 == 0, seed);
+        group.processes[second].node = None;
+        let (_, took) = await_leader(&mut group);
+        assert!(took < Config::default().election_timeout * 5, "{took:?}");
+    });
+}
--- a/crates/tanagershift/src/voter/folder.rs
+++ b/crates/tanagershift/src/voter/folder.rs
@@ -12,7 +12,7 @@
     link::Responder,
     quorum::{
         disk::{Disk, Identity},
-        message::{Members, Snapshot},
+        message::{self, Envelope, Members, Snapshot},
     },
     wire::{Body, Format},
 };
@@ -56,7 +56,7 @@
             return Ok(Some(assigned));
         }
         Body::Format(_) => responder.finish_now(failure("the group names another identity")),
-        Body::Quorum(envelope) if envelope.to == identity.member => {
+        Body::Quorum(envelope) if envelope.to == identity.member && is_from_leader(&envelope) => {
             // A leader has added this member and sends its snapshot and log.
             let format = Format {
                 group: envelope.group,
@@ -71,6 +71,15 @@
     Ok(None)
 }
 
+/// Whether a message is one that only a leader sends. Vote requests may arrive from voters of a group
+/// that is being created, before the message that assigns this folder to it with its members.
+fn is_from_leader(envelope: &Envelope) -> bool {
+    matches!(
+        envelope.body,
+        Some(message::Body::AppendEntries(_) | message::Body::InstallSnapshot(_))
+    )
+}
+
 /// Identity of the data folder, as JSON.
 pub(super) fn identity_report(host: &str, identity: Identity) -> Bytes {
     let report = serde_json::json!({
