--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -212,7 +212,10 @@
             (&Method::POST, "/v1/load_lora_adapter") => self.load(request).await,
             (&Method::POST, "/v1/unload_lora_adapter") => self.unload(request).await,
             (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
-                self.complete(request).await
+                let engine = self.clone();
+                let mut response = self.complete(request).await?;
+                engine.faults.announce(&mut response);
+                Ok(response)
             }
             _ => Ok(refuse(404, "no such path")),
         }
@@ -341,10 +344,12 @@
             Fault::Hang,
             Fault::WrongModel,
             Fault::WrongRequest,
+            Fault::Pause,
         ]);
         match fault {
             Some(Fault::CutBefore) => return Err(Cut),
             Some(Fault::RefuseBefore) => return Ok(refuse(503, "busy")),
+            Some(Fault::Pause) => return Ok(http::pause()),
             _ => {}
         }
         let id = request.headers().get("x-request-id").cloned();
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -2,9 +2,13 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
+use hyper::{Response, header::HeaderValue};
 use serde::Deserialize;
 
 /// What goes wrong with one request.
@@ -30,11 +34,21 @@
     WrongRequest,
     /// The load order is refused.
     LoadFails,
+    /// Status 503 with the time of a pause, and no work done.
+    Pause,
+    /// This answer and all later ones announce that the upstream leaves.
+    Leave,
 }
 
+/// Header by which an upstream announces that it leaves.
+pub const LEAVING_HEADER: &str = "server-leaving";
+
 /// Faults for the next requests, in order.
 #[derive(Debug, Default)]
-pub struct Faults(Mutex<VecDeque<Fault>>);
+pub struct Faults {
+    next: Mutex<VecDeque<Fault>>,
+    leaving: AtomicBool,
+}
 
 impl Faults {
     /// Adds faults, given as a JSON list.
@@ -53,7 +67,18 @@
         None
     }
 
+    /// Adds the header to an answer if the upstream leaves. `Fault::Leave` takes effect here.
+    pub fn announce<Body>(&self, response: &mut Response<Body>) {
+        if self.take(&[Fault::Leave]).is_some() {
+            self.leaving.store(true, Ordering::Relaxed);
+        }
+        if self.leaving.load(Ordering::Relaxed) {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(LEAVING_HEADER, value);
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Fault>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.next.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -7,7 +7,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_TYPE, HeaderValue},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     server::conn::http1,
     service::service_fn,
 };
@@ -59,6 +59,17 @@
     Full::new(bytes.into()).map_err(never).boxed()
 }
 
+/// Seconds of the pause that a refusal asks for.
+const PAUSE_SECONDS: &str = "1.5";
+
+/// A refusal that asks for a pause.
+pub fn pause() -> Response<Body> {
+    let mut response = json(503, &serde_json::json!({ "error": "pause" }));
+    let seconds = HeaderValue::from_static(PAUSE_SECONDS);
+    response.headers_mut().insert(RETRY_AFTER, seconds);
+    response
+}
+
 /// Makes a JSON answer.
 pub fn json(status: u16, value: &Value) -> Response<Body> {
     let mut response = Response::new(full(value.to_string()));
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -74,7 +74,11 @@
                 };
                 Ok(http::json(status, &json!({})))
             }
-            _ => self.call(request).await,
+            _ => {
+                let mut response = self.call(request).await?;
+                self.faults.announce(&mut response);
+                Ok(response)
+            }
         }
     }
 
@@ -98,10 +102,12 @@
             Fault::RefuseBefore,
             Fault::RefuseAfter,
             Fault::Hang,
+            Fault::Pause,
         ]);
         match fault {
             Some(Fault::CutBefore) => return Err(Cut),
             Some(Fault::RefuseBefore) => return Ok(http::json(503, &json!({ "error": "busy" }))),
+            Some(Fault::Pause) => return Ok(http::pause()),
             _ => {}
         }
         let header = |name: &str| {
--- a/crates/tanagershift/src/quorum/safety_tests.rs
+++ b/crates/tanagershift/src/quorum/safety_tests.rs
@@ -130,6 +130,64 @@
     }
 }
 
+/// A voter that said that it had restarted may have become the leader since. Its own vote shows that
+/// it has not, so a cold start needs the votes of all.
+#[test]
+fn a_cold_start_needs_the_votes_of_all_voters() {
+    let now = Instant::now();
+    let mut node = node(Vec::new(), 1, now);
+    node.begin_cold_start(true, now);
+    let term = node.term() + 1;
+    for member in [2, 3] {
+        let cold = Body::VoteResponse(VoteResponse {
+            pre_vote: true,
+            granted: true,
+            cold: true,
+        });
+        node.receive(message(member, term, cold), now);
+    }
+    assert_eq!(node.term(), term, "it requests votes");
+    let vote = Body::VoteResponse(VoteResponse {
+        pre_vote: false,
+        granted: true,
+        cold: false,
+    });
+    node.receive(message(2, term, vote.clone()), now);
+    assert!(!node.leads());
+    node.receive(message(3, term, vote), now);
+    assert!(node.leads());
+}
+
+/// A voter that has heard from a leader, or has voted, takes no part in a cold start any more.
+#[test]
+fn no_cold_vote_after_a_leader_was_heard_or_a_vote_was_granted() {
+    let cold_vote = || {
+        let Body::VoteRequest(request) = vote_request(false) else {
+            unreachable!("a vote request");
+        };
+        Body::VoteRequest(VoteRequest {
+            cold: true,
+            ..request
+        })
+    };
+    let now = Instant::now();
+    let restarted = || {
+        let mut node = node(Vec::new(), 1, now);
+        node.begin_cold_start(false, now);
+        node
+    };
+    let mut first = restarted();
+    first.receive(message(3, 2, cold_vote()), now);
+    assert_eq!(granted(&mut first), 1);
+    first.receive(message(2, 3, cold_vote()), now);
+    assert_eq!(granted(&mut first), 0, "it has voted");
+    let mut second = restarted();
+    second.receive(message(2, 1, heartbeat()), now);
+    second.ready();
+    second.receive(message(3, 2, cold_vote()), now);
+    assert_eq!(granted(&mut second), 0, "it has heard from a leader");
+}
+
 /// Makes a member the leader of the next term and returns the time at which it was elected.
 fn elect(node: &mut Node, now: Instant) -> Instant {
     let later = now + Config::default().election_timeout * 3;
