gateway: log each answer that breaks off, with the parts of its prompt

A stream that breaks is logged when the request ends, up to 2.8 s later, and no line names the parts of a prompt. Change: event answer.broken at the time of the break, with the request, the upstream, the parts and how far the answer had come. No decision changes.

--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
     connection::{Connection, Error},
     dialect::{AddedHeaders, RequestHead, ResponseHead},
     message::Upstream,
+    progress::Progress,
 };
 use crate::{admission::Origin, link::Call, verdict::Verdict};
 
@@ -54,6 +55,8 @@
     pub connection: Connection,
     /// Keeps the request counted as open at its upstream.
     pub guard: UpstreamRequestGuard,
+    /// How far the response has come.
+    pub progress: Progress,
 }
 
 impl UpstreamResponse {
@@ -143,6 +146,7 @@
     let version = selected.version;
     let upstream = &selected.upstream.clone();
     let guard = UpstreamRequestGuard::new(gateway.clone(), selected);
+    let mut progress = Progress::new(Instant::now());
     let sent = send(gateway, job, upstream, version, resume_after);
     let outcome = timeout_at(job.deadline, sent).await;
     let now = Instant::now();
@@ -158,6 +162,10 @@
                 Error::Unsent | Error::Broken { .. } => view.record_failure(&upstream.name, now),
                 Error::Withheld => {}
             }
+            drop(view);
+            if let Error::Broken { reason } = &error {
+                gateway.log_broken(job, &upstream.name, &progress, reason);
+            }
             return Err(FailedAttempt {
                 verdict: error.verdict(),
                 arrived: error.verdict() != Verdict::NotRun,
@@ -166,6 +174,7 @@
         }
         Ok(Ok(answered)) => answered,
     };
+    progress.record_head(now);
     let (head, body) = response.into_parts();
     let parsed_head = gateway.dialect.parse_response_head(&head);
     gateway.apply_signal(upstream, &head, &parsed_head, Origin::Answer);
@@ -175,6 +184,7 @@
         body,
         connection,
         guard,
+        progress,
     };
     check_response(gateway, job, response, now)
 }
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -282,6 +282,7 @@
         while let Some(frame) = upstream_response.body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             if let Some(data) = frame.data_ref() {
+                upstream_response.progress.record_event(Instant::now());
                 bytes.extend_from_slice(data);
             }
             if bytes.len() > limit {
@@ -292,7 +293,11 @@
     };
     let body = match timeout_at(job.deadline, read).await {
         Ok(Ok(body)) => body,
-        Ok(Err(reason)) => return Err(FailedAttempt::after_sending(reason)),
+        Ok(Err(reason)) => {
+            let name = &upstream_response.guard.upstream().name;
+            gateway.log_broken(job, name, &upstream_response.progress, &reason);
+            return Err(FailedAttempt::after_sending(reason));
+        }
         Err(_) => {
             return Err(FailedAttempt::after_sending(
                 "the answer is late".to_owned(),
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! * `placement`: decides which adapter is loaded on which replica; `orders` carries it out.
 //! * `signal`: applies what upstreams' answers say about further requests.
 //! * `upstream_list`: reads the list page by page.
+//! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
 
@@ -34,6 +35,7 @@
 pub mod orders;
 pub mod patch;
 pub mod placement;
+pub mod progress;
 pub mod prompt_rate;
 pub mod relay;
 pub mod retry_budget;
@@ -67,6 +69,7 @@
 use exchange::Job;
 use forward::{Rejection, Trace};
 use metrics::Metrics;
+use progress::Progress;
 use relay::StreamTiming;
 use retry_budget::RetryBudget;
 use view::View;
@@ -254,6 +257,18 @@
         );
     }
 
+    /// Logs an attempt whose answer broke off, at the time at which it did. The request may go on
+    /// elsewhere.
+    pub fn log_broken(&self, job: &Job, upstream: &str, progress: &Progress, reason: &str) {
+        let parts = job.head.prompt_parts.iter();
+        let parts: Vec<String> = parts.map(|(id, _)| format!("{id:x}")).collect();
+        log::info!(
+            "event=answer.broken request={} upstream={upstream} parts={} {progress} reason={reason:?}",
+            job.head.id,
+            parts.join(","),
+        );
+    }
+
     /// Logs and counts a request that the gateway rejected itself.
     pub fn log_rejection(&self, id: &str, rejection: &Rejection, trace: &Trace, took: Duration) {
         self.metrics.count_request("-", rejection.status.as_str());
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -199,6 +199,9 @@
 
     fn record_event(&mut self) {
         let now = Instant::now();
+        if let Source::Response(response) = &mut self.source {
+            response.progress.record_event(now);
+        }
         if let Some(last_event_at) = self.timing.last_event_at.replace(now) {
             let gap = now.duration_since(last_event_at);
             self.timing.longest_gap = self.timing.longest_gap.max(gap);
@@ -230,6 +233,8 @@
         if let Source::Response(response) = &self.source {
             let name = response.guard.upstream().name.clone();
             self.gateway.view().record_failure(&name, Instant::now());
+            self.gateway
+                .log_broken(&self.job, &name, &response.progress, reason);
         }
         let allowed = self.job.route.resumable
             && forward::try_spend_retry(&self.gateway, &self.job, &self.trace);
