relay: complete a stream with its last frame if its body has a length

Cause: callers' connections stop polling a body once its length is written, so the stream of an answer with a length never saw its end: it was logged as left by its caller, was not counted, and its connection was closed. Change: the stream completes with its last frame.

--- a/crates/tanagershift/src/gateway/event_stream.rs
+++ b/crates/tanagershift/src/gateway/event_stream.rs
@@ -36,6 +36,11 @@
         complete
     }
 
+    /// Whether all bytes belong to complete events.
+    pub fn is_empty(&self) -> bool {
+        self.partial.is_empty()
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -190,6 +190,7 @@
                     return None;
                 }
                 self.record_event();
+                self.complete_at_last_frame();
                 Some(Some(Ok(Frame::data(events))))
             }
             Some(Err(error)) => self.resume_or_fail(&error.to_string()),
@@ -212,6 +213,18 @@
         self.gateway.metrics.first_event.observe(time.as_secs_f64());
     }
 
+    /// Completes the stream with its last frame if the body has a length: callers' connections do not
+    /// poll such a body for its end.
+    fn complete_at_last_frame(&mut self) {
+        let is_last = match &self.source {
+            Source::Response(response) => response.body.is_end_stream(),
+            Source::Resuming(_) | Source::Ended => false,
+        };
+        if is_last && self.splitter.is_empty() {
+            self.complete();
+        }
+    }
+
     fn complete(&mut self) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
         let partial = self.splitter.take_partial();
         if !partial.is_empty() {
