--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -83,6 +83,12 @@
     RETRY_AFTER_INVALID = 505, Warn;
     /// A request was not sent to a selected upstream that leaves or has asked for a pause.
     SEND_WITHHELD = 506, Info;
+    /// A part of a prompt is suspected to crash replicas.
+    PART_SUSPECTED = 507, Warn;
+    /// A part of a prompt crashes replicas; its requests are rejected.
+    PART_CONVICTED = 508, Error;
+    /// A sound answer cleared a suspected part of a prompt.
+    PART_CLEARED = 509, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -14,6 +14,7 @@
     exchange::Job,
     forward::Rejection,
     message::{Ask, Grant, Upstream},
+    quarantine::shareable_parts,
 };
 use crate::{link::Call, wire::Body};
 
@@ -33,9 +34,17 @@
 /// Outcome of asking the leader.
 #[derive(Debug)]
 pub enum Answer {
-    /// The request goes to this replica, with this version of the adapter. The call stays open
-    /// until the request has ended.
-    Granted(Arc<Upstream>, Option<u64>, Call),
+    /// The leader has selected a replica.
+    Granted {
+        /// The replica.
+        upstream: Arc<Upstream>,
+        /// Version of the adapter to use there.
+        version: Option<u64>,
+        /// Stays open until the request has ended.
+        call: Call,
+        /// Whether the request may run although a part of its prompt is suspected.
+        is_trial: bool,
+    },
     /// The leader refuses the request.
     Refused(Rejection),
     /// No leader can be asked; the gateway decides for itself.
@@ -75,7 +84,12 @@
     match upstream {
         Some(upstream) => {
             let version = (grant.version > 0).then_some(grant.version);
-            Answer::Granted(upstream, version, call)
+            Answer::Granted {
+                upstream,
+                version,
+                call,
+                is_trial: grant.is_trial,
+            }
         }
         // The upstream list that contains the replica has not arrived yet.
         None => Answer::NoLeader,
@@ -106,6 +120,7 @@
         give_up_ms: millis(give_up),
         tried: excluded.to_vec(),
         host: gateway.host.clone(),
+        part_ids: shareable_parts(&job.head.prompt_parts),
     }
 }
 
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -8,7 +8,8 @@
 
 use super::{
     Gateway, compression,
-    message::{List, Notice, Tally, Watch},
+    message::{List, Mark, Notice, Tally, Watch},
+    quarantine::Standing,
     settings::Config,
     upstream_list,
 };
@@ -78,6 +79,11 @@
             if let Some((call, Body::Notice(first))) = opened {
                 log::info!("event=leader.found term={}", first.term);
                 self.gateway.view().admission.forget_confirmations();
+                self.gateway.quarantine().replace(&first.marks);
+                let accusations = self.gateway.quarantine().accusations(Instant::now());
+                if !accusations.is_empty() {
+                    self.gateway.send_accusations(accusations).await;
+                }
                 let reason = match self.apply(first) {
                     Ok(()) => self.apply_notices(call).await,
                     Err(reason) => reason,
@@ -133,6 +139,7 @@
             notice.is_snapshot || !notice.residencies.is_empty() || notice.list.is_some();
         self.gateway.view().apply(&notice, now);
         self.gateway.apply_departures(&notice.leaving);
+        self.apply_marks(&notice.marks);
         if residencies_changed {
             self.gateway
                 .placement_changes
@@ -152,6 +159,26 @@
         Ok(())
     }
 
+    fn apply_marks(&self, marks: &[Mark]) {
+        if marks.is_empty() {
+            return;
+        }
+        let (suspected, convicted, unreported) = {
+            let mut quarantine = self.gateway.quarantine();
+            quarantine.apply(marks);
+            (
+                quarantine.count(Standing::Suspected),
+                quarantine.count(Standing::Convicted),
+                quarantine.has_unreported(),
+            )
+        };
+        self.gateway.metrics.suspected_parts.set(suspected as i64);
+        self.gateway.metrics.convicted_parts.set(convicted as i64);
+        if unreported {
+            self.gateway.tally_wanted.notify_one();
+        }
+    }
+
     /// Puts a configuration in force if its version is above the current one and its text can be
     /// read. The version in force never goes back.
     fn configure(&self, version: u64, text: Bytes) {
@@ -190,6 +217,8 @@
                     streams: self.gateway.take_stream_counts(),
                     leaving: view.unconfirmed_departures(),
                     pauses: view.pauses(Instant::now()),
+                    accusations: Vec::new(),
+                    sound: self.gateway.quarantine().take_sound(Instant::now()),
                 }
             };
             self.gateway.leader.tell(Body::Tally(tally)).await;
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -54,6 +54,9 @@
     /// The upstream leaves or has asked for a pause; nothing was sent.
     #[snafu(display("the upstream takes no requests now"))]
     Withheld,
+    /// A part of the prompt may crash replicas; nothing was sent.
+    #[snafu(display("a part of the prompt may crash replicas"))]
+    Quarantined,
     /// The connection was closed before the request was written.
     #[snafu(display("connection was closed before the request was sent"))]
     Unsent,
@@ -69,7 +72,9 @@
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } | Self::Withheld | Self::Unsent => Verdict::NotRun,
+            Self::Connect { .. } | Self::Withheld | Self::Quarantined | Self::Unsent => {
+                Verdict::NotRun
+            }
             Self::Broken { .. } => Verdict::MayHaveRun,
         }
     }
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -3,7 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, http::response};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 use tokio::time::{Instant, timeout_at};
 
 use super::{
@@ -13,6 +18,7 @@
     dialect::{AddedHeaders, RequestHead, ResponseHead},
     message::Upstream,
     progress::Progress,
+    quarantine::{Standing, shareable_parts},
 };
 use crate::{admission::Origin, link::Call, verdict::Verdict};
 
@@ -60,6 +66,13 @@
 }
 
 impl UpstreamResponse {
+    /// Whether the body has neither a length nor chunks, so that the end of the connection is its
+    /// end.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool, unless the upstream closes it. The whole body must have
     /// been read.
     pub fn finish(self, gateway: &Gateway) {
@@ -85,6 +98,8 @@
     pub verdict: Verdict,
     /// Whether the upstream received the request, even if it refused it.
     pub arrived: bool,
+    /// Whether the upstream was not tried, since a part of the prompt may crash it.
+    pub withdrawn: bool,
     /// Why the attempt failed.
     pub reason: String,
 }
@@ -130,6 +145,8 @@
     pub version: Option<u64>,
     /// Call to the leader, if the leader selected the upstream.
     pub grant: Option<Call>,
+    /// Whether the leader lets the request run although a part of its prompt is suspected.
+    pub is_trial: bool,
 }
 
 /// Sends a request to an upstream and waits for the head of the response.
@@ -143,11 +160,11 @@
     selected: SelectedUpstream,
     resume_after: Option<u64>,
 ) -> Result<UpstreamResponse, FailedAttempt> {
-    let version = selected.version;
+    let (version, is_trial) = (selected.version, selected.is_trial);
     let upstream = &selected.upstream.clone();
     let guard = UpstreamRequestGuard::new(gateway.clone(), selected);
     let mut progress = Progress::new(Instant::now());
-    let sent = send(gateway, job, upstream, version, resume_after);
+    let sent = send(gateway, job, upstream, version, resume_after, is_trial);
     let outcome = timeout_at(job.deadline, sent).await;
     let now = Instant::now();
     let (connection, response) = match outcome {
@@ -156,19 +173,15 @@
             return Err(FailedAttempt::after_sending(reason));
         }
         Ok(Err(error)) => {
-            let mut view = gateway.view();
-            match error {
-                Error::Connect { .. } => view.record_unreachable(&upstream.name, now),
-                Error::Unsent | Error::Broken { .. } => view.record_failure(&upstream.name, now),
-                Error::Withheld => {}
-            }
-            drop(view);
+            record_error(gateway, &upstream.name, &error, now);
             if let Error::Broken { reason } = &error {
                 gateway.log_broken(job, &upstream.name, &progress, reason);
+                gateway.report_crash(job, upstream, progress).await;
             }
             return Err(FailedAttempt {
                 verdict: error.verdict(),
                 arrived: error.verdict() != Verdict::NotRun,
+                withdrawn: matches!(error, Error::Quarantined),
                 reason: error.to_string(),
             });
         }
@@ -189,13 +202,24 @@
     check_response(gateway, job, response, now)
 }
 
+fn record_error(gateway: &Gateway, upstream: &str, error: &Error, now: Instant) {
+    let mut view = gateway.view();
+    match error {
+        Error::Connect { .. } => view.record_unreachable(upstream, now),
+        Error::Unsent | Error::Broken { .. } => view.record_failure(upstream, now),
+        Error::Withheld | Error::Quarantined => {}
+    }
+}
+
 async fn send(
     gateway: &Gateway,
     job: &Job,
     upstream: &Upstream,
     version: Option<u64>,
     resume_after: Option<u64>,
+    is_trial: bool,
 ) -> Result<(Connection, Response<Incoming>), Error> {
+    let parts = shareable_parts(&job.head.prompt_parts);
     let mut last_error = Error::Unsent;
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut connection = gateway.pool.connect(&upstream.address).await?;
@@ -205,6 +229,10 @@
             gateway.log_withheld(&job.head.id, &upstream.name, access);
             return Err(Error::Withheld);
         }
+        let standing = gateway.quarantine().standing(&parts);
+        if standing == Standing::Convicted || standing == Standing::Suspected && !is_trial {
+            return Err(Error::Quarantined);
+        }
         match connection.send(request).await {
             Ok(response) => return Ok((connection, response)),
             Err(Error::Unsent) => last_error = Error::Unsent,
@@ -281,6 +309,7 @@
         return Err(FailedAttempt {
             verdict: Verdict::NotRun,
             arrived: true,
+            withdrawn: false,
             reason,
         });
     }
@@ -312,6 +341,7 @@
         Self {
             verdict: Verdict::MayHaveRun,
             arrived: true,
+            withdrawn: false,
             reason,
         }
     }
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -19,12 +19,18 @@
     choose::{Choice, Requirements, choose},
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{FailedAttempt, Job, SelectedUpstream, UpstreamResponse, exchange},
+    quarantine::{Standing, shareable_parts},
     relay::{Body, Stream, StreamTiming},
 };
 use crate::{admission::Access, entry::retry::may_repeat, verdict::Verdict};
 
 /// `Retry-After` of a rejection when no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of a rejection for a prompt part that crashes replicas. An operator may lift it.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// `Retry-After` of a rejection for a prompt part that is suspected to crash replicas, without a
+/// leader that could let the request run alone.
+const SUSPECTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Minimum time that a stream needs. With less time left, a stream request is not retried and a request
 /// stops waiting for its adapter.
 const MIN_SERVICE_TIME: Duration = Duration::from_millis(300);
@@ -70,6 +76,24 @@
         }
     }
 
+    /// Rejects a request that does not run since a part of its prompt may crash replicas.
+    fn quarantined(standing: Standing) -> Self {
+        let (reason, after) = match standing {
+            Standing::Convicted => (
+                "a part of the prompt crashes replicas",
+                QUARANTINE_RETRY_AFTER,
+            ),
+            Standing::Clear | Standing::Suspected => (
+                "a part of the prompt may crash replicas",
+                SUSPECTED_RETRY_AFTER,
+            ),
+        };
+        Self {
+            retry_after: Some(after),
+            ..Self::retry_later(reason)
+        }
+    }
+
     /// Response to the caller, with an empty body.
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(Body::full(Bytes::new()));
@@ -294,8 +318,10 @@
     let body = match timeout_at(job.deadline, read).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => {
-            let name = &upstream_response.guard.upstream().name;
-            gateway.log_broken(job, name, &upstream_response.progress, &reason);
+            let upstream = upstream_response.guard.upstream();
+            let progress = upstream_response.progress;
+            gateway.log_broken(job, &upstream.name, &progress, &reason);
+            gateway.report_crash(job, upstream, progress).await;
             return Err(FailedAttempt::after_sending(reason));
         }
         Err(_) => {
@@ -304,6 +330,10 @@
             ));
         }
     };
+    if !upstream_response.ends_with_connection() {
+        let upstream = upstream_response.guard.upstream();
+        gateway.report_sound(job, upstream, &upstream_response.progress);
+    }
     upstream_response.finish(gateway);
     *response.body_mut() = Body::full(body);
     Ok(response)
@@ -357,6 +387,9 @@
             }
             Err(failed) => failed,
         };
+        if failed.withdrawn {
+            trace.tried.pop();
+        }
         trace.arrivals += u32::from(failed.arrived);
         trace.last_failure.clone_from(&failed.reason);
         trace.may_have_run |= failed.verdict != Verdict::NotRun;
@@ -438,6 +471,8 @@
     trace: &mut Trace,
 ) -> Result<SelectedUpstream, Rejection> {
     let began = Instant::now();
+    let parts = shareable_parts(&job.head.prompt_parts);
+    reject_convicted(gateway, gateway.quarantine().standing(&parts))?;
     if job.head.model.is_some() {
         if let Some(selected) = ask_leader(gateway, job, trace).await? {
             return Ok(selected);
@@ -446,6 +481,11 @@
             gateway.view().count_request(adapter);
         }
     }
+    let standing = gateway.quarantine().standing_alone(&parts, began);
+    if standing != Standing::Clear {
+        gateway.metrics.quarantined_requests.inc();
+        return Err(Rejection::quarantined(standing));
+    }
     let startup_until = job.received_at + STARTUP_WAIT.min((job.deadline - job.received_at) / 2);
     let mut wait_guard: Option<AdapterWaitGuard> = None;
     let mut changes = gateway.placement_changes.subscribe();
@@ -473,6 +513,7 @@
                     upstream,
                     version,
                     grant: None,
+                    is_trial: false,
                 });
             }
             Choice::Paused(until) => {
@@ -501,6 +542,15 @@
     }
 }
 
+/// Rejects a request with a prompt part that crashes replicas.
+fn reject_convicted(gateway: &Gateway, standing: Standing) -> Result<(), Rejection> {
+    if standing != Standing::Convicted {
+        return Ok(());
+    }
+    gateway.metrics.quarantined_requests.inc();
+    Err(Rejection::quarantined(standing))
+}
+
 fn has_list(gateway: &Gateway) -> bool {
     gateway.view().has_list()
 }
@@ -522,7 +572,12 @@
             return Ok(None);
         }
         match ask(gateway, job, &excluded).await {
-            Answer::Granted(upstream, version, grant) => {
+            Answer::Granted {
+                upstream,
+                version,
+                call,
+                is_trial,
+            } => {
                 let access = gateway
                     .view()
                     .admission
@@ -540,7 +595,8 @@
                 return Ok(Some(SelectedUpstream {
                     upstream,
                     version,
-                    grant: Some(grant),
+                    grant: Some(call),
+                    is_trial,
                 }));
             }
             Answer::Refused(rejection) => return Err(rejection),
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -4,9 +4,11 @@
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
 //! * `queue`: queues gateways' requests for a replica and answers them.
 //! * `notices`: messages to and from gateways.
+//! * `quarantine`: spreads and replicates the marks of prompt parts.
 
 mod configuration_history;
 mod notices;
+mod quarantine;
 mod queue;
 
 use std::{
@@ -26,9 +28,10 @@
 use super::{
     Gateway,
     dialect::{Order, OrderOutcome, Report},
-    message::{Ask, Counts, List, Notice, Residency, Tally, Upstream, Watch},
+    message::{Ask, Counts, List, Mark, Notice, Residency, Tally, Upstream, Watch},
     orders,
     placement::{self, Action, Adapter, Placement},
+    quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
     settings::Config,
     upstream_list,
@@ -148,6 +151,14 @@
     departures: Admission,
     /// Pauses that replicas have asked gateways for.
     pauses: Pauses,
+    /// Evidence against prompt parts that crash replicas.
+    ledger: Ledger,
+    /// Marks of prompt parts as they are replicated.
+    replicated_marks: Arc<BTreeMap<id::PromptPart, Mark>>,
+    /// Whether the marks of the ledger may differ from the replicated ones.
+    marks_differ: bool,
+    /// Earliest time at which changed marks are proposed.
+    next_marks_proposal: Instant,
     /// Gateways with requests that wait for an adapter.
     waiting_gateways: BTreeMap<Adapter, BTreeSet<id::Host>>,
     /// Changes of the placement that were not yet sent to all gateways.
@@ -232,6 +243,9 @@
             return idle;
         };
         let mut wake = state.next_notice;
+        if state.marks_differ {
+            wake = wake.min(state.next_marks_proposal);
+        }
         if state.watchers.iter().any(|watcher| watcher.needs_snapshot) {
             wake = wake.min(state.next_snapshot);
         }
@@ -281,6 +295,7 @@
         if state.announced != status.announced {
             state.announce(&status.announced);
         }
+        state.apply_replicated_marks(&status.marks);
         let voters: Vec<String> = status
             .members
             .iter()
@@ -334,6 +349,10 @@
             gateways: BTreeMap::new(),
             departures: Admission::default(),
             pauses: Pauses::default(),
+            ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
+            replicated_marks: status.marks.clone(),
+            marks_differ: false,
+            next_marks_proposal: now,
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
             next_notice: now,
@@ -385,6 +404,7 @@
         }
         state.input_pending = false;
         state.sweep(now);
+        state.spread_marks(&self.gateway, now);
         state.decide(now);
         let may_order = state.may_order(&self.voter_status, now);
         for action in state.placement.tick(may_order, now) {
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -58,6 +58,7 @@
             is_snapshot: false,
             interval_ms: self.notice_interval().as_millis() as u32,
             leaving: self.departing(now),
+            marks: self.ledger.marks().collect(),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -99,6 +100,7 @@
     pub(super) fn record_tally(&mut self, tally: Tally, own_host: &str, now: Instant) {
         self.record_departures(&tally.leaving, now);
         self.record_pauses(&tally, own_host, now);
+        self.record_evidence(&tally, now);
         for demand in &tally.demand {
             if demand.waiting > 0 {
                 let hosts = self
@@ -303,6 +305,7 @@
         self.next_notice = now + interval;
         if now >= self.next_summary {
             self.next_summary = now + SUMMARY_INTERVAL;
+            self.ledger.expire(now);
             log::info!(
                 "event=hub.summary term={} hosts={} waiting={} open={} paces={:.1?} {:?}",
                 self.term,
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -20,6 +20,8 @@
 /// Time for which jobs may wait at busy replicas before their adapter is loaded on one more
 /// replica.
 const SATURATION_LIMIT: Duration = Duration::from_millis(400);
+/// Delay before a request with a prompt part that crashes replicas should be retried.
+const BARRED_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Minimum delay before a refused request should be retried.
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
 
@@ -84,12 +86,13 @@
             .filter(|(_, request)| request.responder.is_cancelled());
         let ended: Vec<JobNumber> = ended.map(|(number, _)| *number).collect();
         for number in ended {
-            self.end_request(number);
+            self.end_request(number, now);
         }
     }
 
-    pub(super) fn end_request(&mut self, number: JobNumber) {
+    pub(super) fn end_request(&mut self, number: JobNumber, now: Instant) {
         self.requests.remove(&number);
+        self.ledger.end_trial(number, now);
         if let Some(running) = self.scheduler.end_job(number)
             && let Some(adapter) = &running.adapter
         {
@@ -100,11 +103,12 @@
     /// Assigns replicas to requests. Asks the placement to load adapters that no replica has, and
     /// to load on one more replica those whose replicas are saturated or were all tried.
     pub(super) fn decide(&mut self, now: Instant) {
-        let (placement, unscheduled, capacity, pauses) = (
+        let (placement, unscheduled, capacity, pauses, ledger) = (
             &self.placement,
             &self.unscheduled_requests,
             &self.token_capacity,
             &self.pauses,
+            &self.ledger,
         );
         let candidate = |replica: &placement::Replica, version: Option<u64>| Candidate {
             name: replica.upstream.name.clone(),
@@ -121,27 +125,30 @@
             version,
         };
         let (mut missing, mut tried) = (Vec::new(), Vec::new());
-        let decisions = self.scheduler.decide(pauses, now, |group, oldest, jobs| {
-            let serves_group = |one: &&placement::Replica| one.upstream.service == group.service;
-            let Some(adapter) = &group.adapter else {
-                let holders = placement.holders(&group.model).filter(serves_group);
-                return holders.map(|one| candidate(one, None)).collect();
-            };
-            let usable = placement.usable(adapter, now).into_iter();
-            let usable = usable.filter(|(one, _)| serves_group(one));
-            let found: Rc<[Candidate]> = usable
-                .map(|(one, version)| candidate(one, Some(version)))
-                .collect();
-            if found.is_empty() {
-                missing.push((adapter.clone(), jobs));
-            } else if found
-                .iter()
-                .all(|one| oldest.excludes(&one.name, pauses, now))
-            {
-                tried.push(adapter.clone());
-            }
-            found
-        });
+        let decisions = self
+            .scheduler
+            .decide(pauses, ledger, now, |group, oldest, jobs| {
+                let serves_group =
+                    |one: &&placement::Replica| one.upstream.service == group.service;
+                let Some(adapter) = &group.adapter else {
+                    let holders = placement.holders(&group.model).filter(serves_group);
+                    return holders.map(|one| candidate(one, None)).collect();
+                };
+                let usable = placement.usable(adapter, now).into_iter();
+                let usable = usable.filter(|(one, _)| serves_group(one));
+                let found: Rc<[Candidate]> = usable
+                    .map(|(one, version)| candidate(one, Some(version)))
+                    .collect();
+                if found.is_empty() {
+                    missing.push((adapter.clone(), jobs));
+                } else if found
+                    .iter()
+                    .all(|one| oldest.excludes(&one.name, pauses, now))
+                {
+                    tried.push(adapter.clone());
+                }
+                found
+            });
         for (adapter, jobs) in missing {
             self.placement.request_load(&adapter, jobs as u32, now);
         }
@@ -165,16 +172,20 @@
                 version,
                 cost_ms,
                 holders,
+                is_trial,
             } => {
                 if let Some(adapter) = &adapter {
                     self.placement.count_use(&replica, adapter, true);
                 }
+                if is_trial && let Some(parts) = self.scheduler.running_parts(number) {
+                    self.ledger.begin_trial(parts, number, &replica);
+                }
                 let Some(request) = self.requests.get(&number) else {
                     return;
                 };
                 log::info!(
                     "event=schedule.send request={} replica={replica} version={} cost_ms={cost_ms} \
-                     holders={holders} running={} waited_ms={} waiting={}",
+                     holders={holders} running={} waited_ms={} waiting={} trial={is_trial}",
                     request.id,
                     version.unwrap_or(0),
                     self.scheduler.running_on(&replica),
@@ -184,12 +195,24 @@
                 let grant = Body::Grant(Grant {
                     replica,
                     version: version.unwrap_or(0),
+                    is_trial,
                     ..Grant::default()
                 });
                 if request.responder.send_now(grant).is_err() {
-                    self.end_request(number);
+                    self.end_request(number, now);
                 }
             }
+            Decision::Bar { number } => {
+                let Some(request) = self.requests.remove(&number) else {
+                    return;
+                };
+                log::info!("event=schedule.bar request={}", request.id);
+                request.responder.finish_now(Body::Grant(Grant {
+                    retry_after_ms: BARRED_RETRY_AFTER.as_millis() as u64,
+                    reason: "a part of the prompt crashes replicas".to_owned(),
+                    ..Grant::default()
+                }));
+            }
             Decision::Refuse { number, holders } => {
                 let Some(request) = self.requests.remove(&number) else {
                     return;
@@ -237,5 +260,6 @@
         objective,
         refuse_at: now + Duration::from_millis(ask.give_up_ms),
         tried: ask.tried,
+        part_ids: ask.part_ids,
     }
 }
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 use super::patch::Patch;
-pub use crate::voter::command::{Announcement, Document};
+pub use crate::voter::command::{Announcement, Document, Mark};
 
 /// Subscribes a gateway to the leader's state. The leader answers with a stream of [`Notice`]s.
 #[derive(Clone, PartialEq)]
@@ -69,6 +69,10 @@
     /// them that are listed.
     #[prost(string, repeated, tag = "12")]
     pub leaving: Vec<String>,
+    /// Prompt parts that are suspected or convicted of crashing replicas, or no longer; the first
+    /// notice of a watch carries all that are.
+    #[prost(message, repeated, tag = "13")]
+    pub marks: Vec<Mark>,
 }
 
 /// The platform's list of upstreams.
@@ -188,6 +192,48 @@
     /// Upstreams that have asked this gateway for a pause which has not ended.
     #[prost(message, repeated, tag = "8")]
     pub pauses: Vec<Pause>,
+    /// Replicas that crashed when they had just begun to answer a request of this gateway.
+    #[prost(message, repeated, tag = "9")]
+    pub accusations: Vec<Accusation>,
+    /// Marked prompt parts that a sound answer had.
+    #[prost(message, repeated, tag = "10")]
+    pub sound: Vec<SoundPart>,
+}
+
+/// A replica crashed when it had just begun to answer a request.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Accusation {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Name of the replica.
+    #[prost(string, tag = "2")]
+    pub upstream: String,
+    /// Service of the replica.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Milliseconds since the crash, at the time of the message.
+    #[prost(uint64, tag = "4")]
+    pub silent_ms: u64,
+    /// Parts of the prompt that other requests may share.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub parts: Vec<u64>,
+}
+
+/// A prompt part that a sound answer had.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct SoundPart {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Service whose replica answered.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Milliseconds since the answer began.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// A pause that an upstream has asked one gateway for.
@@ -281,6 +327,9 @@
     /// Host of the gateway.
     #[prost(string, tag = "14")]
     pub host: String,
+    /// Ids of the prompt parts that other requests may share.
+    #[prost(fixed64, repeated, tag = "15")]
+    pub part_ids: Vec<u64>,
 }
 
 /// Answer to an [`Ask`].
@@ -299,4 +348,7 @@
     /// Reason for the refusal.
     #[prost(string, tag = "4")]
     pub reason: String,
+    /// Whether the request may be sent although a part of its prompt is suspected to crash replicas.
+    #[prost(bool, tag = "5")]
+    pub is_trial: bool,
 }
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -44,6 +44,14 @@
     /// Requests that were not sent to a selected upstream because it leaves or has asked for a
     /// pause.
     pub withheld: Counter,
+    /// Replicas that crashed on a request of this gateway.
+    pub crash_reports: Counter,
+    /// Requests rejected for a prompt part that crashes replicas.
+    pub quarantined_requests: Counter,
+    /// Prompt parts that are suspected to crash replicas.
+    pub suspected_parts: Gauge,
+    /// Prompt parts that crash replicas.
+    pub convicted_parts: Gauge,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
     /// Requests of callers that are currently open.
@@ -66,6 +74,10 @@
             departures: Counter::default(),
             pauses: Counter::default(),
             withheld: Counter::default(),
+            crash_reports: Counter::default(),
+            quarantined_requests: Counter::default(),
+            suspected_parts: Gauge::default(),
+            convicted_parts: Gauge::default(),
             list_reads: Counter::default(),
             open: Gauge::default(),
             version: Gauge::default(),
@@ -101,6 +113,15 @@
         registry.register("pauses", help, self.pauses.clone());
         let help = "Requests not sent to an upstream that leaves or has asked for a pause";
         registry.register("withheld", help, self.withheld.clone());
+        let help = "Replicas that crashed on a request of this gateway";
+        registry.register("crash_reports", help, self.crash_reports.clone());
+        let help = "Requests rejected for a prompt part that crashes replicas";
+        let quarantined = self.quarantined_requests.clone();
+        registry.register("quarantined_requests", help, quarantined);
+        let help = "Prompt parts suspected to crash replicas";
+        registry.register("suspected_parts", help, self.suspected_parts.clone());
+        let help = "Prompt parts that crash replicas";
+        registry.register("convicted_parts", help, self.convicted_parts.clone());
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //!   gateways.
 //! * `placement`: decides which adapter is loaded on which replica; `orders` carries it out.
 //! * `signal`: applies what upstreams' answers say about further requests.
+//! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `upstream_list`: reads the list page by page.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
@@ -37,6 +38,7 @@
 pub mod placement;
 pub mod progress;
 pub mod prompt_rate;
+pub mod quarantine;
 pub mod relay;
 pub mod retry_budget;
 pub mod scheduler;
@@ -70,6 +72,7 @@
 use forward::{Rejection, Trace};
 use metrics::Metrics;
 use progress::Progress;
+use quarantine::Register;
 use relay::StreamTiming;
 use retry_budget::RetryBudget;
 use view::View;
@@ -113,6 +116,7 @@
     pub started_at: Instant,
     view: Mutex<View>,
     budget: Mutex<RetryBudget>,
+    quarantine: Mutex<Register>,
     configuration_text: Mutex<Option<(u64, Bytes)>>,
     streams: Mutex<BTreeMap<String, message::Streams>>,
 }
@@ -145,6 +149,7 @@
             started_at: Instant::now(),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
+            quarantine: Mutex::default(),
             configuration_text: Mutex::default(),
             streams: Mutex::default(),
         }
@@ -160,6 +165,13 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what the gateway knows of prompt parts that crash replicas.
+    pub fn quarantine(&self) -> MutexGuard<'_, Register> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the host is shutting down.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -43,7 +43,7 @@
             gateway.apply_signal(&upstream, head, &parsed_head, Origin::Order);
             gateway.dialect.order_outcome(head.status)
         }
-        Err(Error::Connect { .. } | Error::Withheld) => OrderOutcome::Gone,
+        Err(Error::Connect { .. } | Error::Withheld | Error::Quarantined) => OrderOutcome::Gone,
         Err(Error::Unsent | Error::Broken { .. }) => OrderOutcome::Unknown,
     };
     let operation = operation_label(order.operation);
--- a/crates/tanagershift/src/gateway/progress.rs
+++ b/crates/tanagershift/src/gateway/progress.rs
@@ -35,6 +35,18 @@
         self.last_event_at = Some(now);
     }
 
+    /// When the answer began: its first event, or else its head or the attempt.
+    pub fn began_at(&self) -> Instant {
+        let begun = self.first_event_at.or(self.head_at);
+        begun.unwrap_or(self.sent_at)
+    }
+
+    /// When something of the answer last arrived; when the attempt was sent, if nothing has.
+    pub fn last_heard_at(&self) -> Instant {
+        let heard = self.last_event_at.or(self.head_at);
+        heard.unwrap_or(self.sent_at)
+    }
+
     /// Time between the first and the last part of the body that have arrived; `None` before the
     /// first.
     pub fn span(&self) -> Option<Duration> {
--- /dev/null
+++ b/crates/tanagershift/src/gateway/quarantine/report.rs
@@ -0,0 +1,103 @@
+//! Reports replicas that crashed on a request to the leader, and prompts that proved sound.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
+
+use super::{BEGINNING, shareable_parts};
+use crate::{
+    gateway::{
+        Gateway,
+        exchange::Job,
+        message::{Accusation, Tally, Upstream},
+        progress::Progress,
+    },
+    wire::Body,
+};
+
+/// Time limit to connect to a replica whose answer broke off. One that is alive accepts within a few
+/// milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without a byte after which a connection that fails was silent rather than reset.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Whether nothing accepts connections at an address.
+async fn is_gone(address: &str) -> bool {
+    let connect = TcpStream::connect(address);
+    !matches!(timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)))
+}
+
+impl Gateway {
+    /// Handles an answer that broke off. If the answer had just begun and its replica is gone, the
+    /// leader is told before this returns, so that it knows when the request is sent again.
+    pub async fn report_crash(
+        self: &Arc<Self>,
+        job: &Job,
+        upstream: &Upstream,
+        progress: Progress,
+    ) {
+        let parts = shareable_parts(&job.head.prompt_parts);
+        if parts.is_empty() || progress.span().is_some_and(|span| span > BEGINNING) {
+            return;
+        }
+        let broken_at = Instant::now();
+        if !is_gone(&upstream.address).await {
+            return;
+        }
+        let now = Instant::now();
+        self.view().record_unreachable(&upstream.name, now);
+        let silence = broken_at - progress.last_heard_at();
+        let silence = if silence < SILENCE {
+            Duration::ZERO
+        } else {
+            silence
+        };
+        let accusation = Accusation {
+            request: job.head.id.clone(),
+            upstream: upstream.name.clone(),
+            service: upstream.service.clone(),
+            silent_ms: (silence + (now - broken_at)).as_millis() as u64,
+            parts,
+        };
+        log::info!(
+            "event=crash.report request={} upstream={} parts={:x?} silent_ms={}",
+            accusation.request,
+            accusation.upstream,
+            accusation.parts,
+            accusation.silent_ms
+        );
+        self.metrics.crash_reports.inc();
+        self.quarantine().accuse(accusation.clone(), now);
+        self.send_accusations(vec![accusation]).await;
+    }
+
+    /// Sends accusations to the leader.
+    pub async fn send_accusations(&self, accusations: Vec<Accusation>) {
+        let tally = Tally {
+            host: self.host.clone(),
+            session: self.session,
+            accusations,
+            ..Tally::default()
+        };
+        self.leader.tell(Body::Tally(tally)).await;
+    }
+
+    /// Records that an upstream answered a job soundly.
+    pub fn report_sound(&self, job: &Job, upstream: &Upstream, progress: &Progress) {
+        let parts = shareable_parts(&job.head.prompt_parts);
+        if parts.is_empty() {
+            return;
+        }
+        let (service, now) = (&upstream.service, Instant::now());
+        let began_at = progress.began_at();
+        if self
+            .quarantine()
+            .record_sound(&parts, service, began_at, now)
+        {
+            self.tally_wanted.notify_one();
+        }
+    }
+}
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -20,6 +20,7 @@
     event_stream::EventSplitter,
     exchange::{Job, UpstreamResponse},
     forward::{self, Trace},
+    quarantine::SURVIVAL_TIME,
 };
 use crate::verdict::Verdict;
 
@@ -112,6 +113,8 @@
     outcome: &'static str,
     /// Counts the caller's request as open until the stream is dropped.
     guard: Option<Box<dyn Send>>,
+    /// Whether the answer has shown that its prompt does not crash replicas.
+    is_sound: bool,
 }
 
 impl fmt::Debug for Stream {
@@ -141,6 +144,7 @@
             timing: StreamTiming::default(),
             outcome: "caller_left",
             guard: None,
+            is_sound: false,
         }
     }
 
@@ -203,6 +207,7 @@
         if let Source::Response(response) = &mut self.source {
             response.progress.record_event(now);
         }
+        self.report_if_survived();
         if let Some(last_event_at) = self.timing.last_event_at.replace(now) {
             let gap = now.duration_since(last_event_at);
             self.timing.longest_gap = self.timing.longest_gap.max(gap);
@@ -213,6 +218,22 @@
         self.gateway.metrics.first_event.observe(time.as_secs_f64());
     }
 
+    /// Reports the prompt as sound once the answer has gone on for long enough.
+    fn report_if_survived(&mut self) {
+        if let Source::Response(response) = &self.source
+            && !self.is_sound
+            && response
+                .progress
+                .span()
+                .is_some_and(|span| span >= SURVIVAL_TIME)
+        {
+            self.is_sound = true;
+            let upstream = response.guard.upstream();
+            self.gateway
+                .report_sound(&self.job, upstream, &response.progress);
+        }
+    }
+
     /// Completes the stream with its last frame if the body has a length: callers' connections do not
     /// poll such a body for its end.
     fn complete_at_last_frame(&mut self) {
@@ -231,6 +252,13 @@
             return self.resume_or_fail("the stream ended within an event");
         }
         if let Source::Response(response) = std::mem::replace(&mut self.source, Source::Ended) {
+            // A crash can look like the end of an answer that ends with its connection.
+            let has_events = response.progress.span().is_some();
+            if !self.is_sound && has_events && !response.ends_with_connection() {
+                let upstream = response.guard.upstream();
+                self.gateway
+                    .report_sound(&self.job, upstream, &response.progress);
+            }
             response.finish(&self.gateway);
         }
         self.outcome = "complete";
@@ -243,22 +271,37 @@
         self.trace.last_failure = reason.to_owned();
         // The replica that resumes the stream sends the incomplete event again.
         let _ = self.splitter.take_partial();
-        if let Source::Response(response) = &self.source {
-            let name = response.guard.upstream().name.clone();
-            self.gateway.view().record_failure(&name, Instant::now());
-            self.gateway
-                .log_broken(&self.job, &name, &response.progress, reason);
+        let broken = match &self.source {
+            Source::Response(response) => {
+                let upstream = response.guard.upstream().clone();
+                Some((upstream, response.progress))
+            }
+            Source::Resuming(_) | Source::Ended => None,
+        };
+        if let Some((upstream, progress)) = &broken {
+            let name = &upstream.name;
+            self.gateway.view().record_failure(name, Instant::now());
+            self.gateway.log_broken(&self.job, name, progress, reason);
         }
+        let (gateway, job) = (self.gateway.clone(), self.job.clone());
+        let report = async move {
+            if let Some((upstream, progress)) = broken {
+                gateway.report_crash(&job, &upstream, progress).await;
+            }
+        };
         let allowed = self.job.route.resumable
             && forward::try_spend_retry(&self.gateway, &self.job, &self.trace);
         if !allowed {
+            tokio::spawn(report);
             return Some(Some(Err(self.fail("broken"))));
         }
         let gateway = self.gateway.clone();
         let job = self.job.clone();
         let resume_after = self.splitter.last_id();
         let mut trace = std::mem::take(&mut self.trace);
+        self.is_sound = false;
         self.source = Source::Resuming(Box::pin(async move {
+            report.await;
             let response =
                 forward::send_with_retries(&gateway, &job, &mut trace, resume_after).await;
             let response = response
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -14,7 +14,11 @@
 
 use tokio::time::Instant;
 
-use super::{message::Streams, prompt_rate::PromptRate};
+use super::{
+    message::Streams,
+    prompt_rate::PromptRate,
+    quarantine::{Ledger, Ruling},
+};
 use crate::id;
 
 /// Number that the leader gives to a request for a replica; unique within its term.
@@ -48,6 +52,8 @@
 /// Minimum time for which a group must have waited although replicas have what it needs, before a
 /// late job of the group is attributed to busy replicas.
 const MIN_BUSY_TIME: Duration = Duration::from_millis(100);
+/// Time after its assignment in which a job may not have begun to run.
+const MAX_BEGIN_TIME: Duration = Duration::from_secs(3);
 /// Number of remembered prompt parts of a replica above which expired ones are removed.
 const PARTS_CLEANUP_THRESHOLD: usize = 4096;
 
@@ -93,6 +99,8 @@
     pub refuse_at: Instant,
     /// Replicas that earlier attempts were sent to; they are not chosen again.
     pub tried: Vec<id::Upstream>,
+    /// Ids of the prompt parts that other requests may share.
+    pub part_ids: Vec<id::PromptPart>,
 }
 
 /// What a job needs of a replica. All jobs of a group can run on the same replicas.
@@ -192,6 +200,13 @@
         cost_ms: u64,
         /// Number of replicas that had what the job needs.
         holders: usize,
+        /// Whether a part of the job's prompt is suspected to crash replicas.
+        is_trial: bool,
+    },
+    /// A part of the job's prompt crashes replicas.
+    Bar {
+        /// Number of the job.
+        number: JobNumber,
     },
     /// The job cannot be served in time.
     Refuse {
@@ -276,6 +291,10 @@
     pub replica: id::Upstream,
     /// Adapter that it uses; `None` for the base model alone.
     pub adapter: Option<String>,
+    /// Ids of the prompt parts that other requests may share.
+    pub part_ids: Vec<id::PromptPart>,
+    /// When the job was assigned.
+    pub assigned_at: Instant,
 }
 
 impl Scheduler {
@@ -348,6 +367,12 @@
         Some(running)
     }
 
+    /// Shareable prompt parts of an assigned job; `None` if it has ended.
+    pub fn running_parts(&self, number: JobNumber) -> Option<&[id::PromptPart]> {
+        let running = self.running.get(&number)?;
+        Some(&running.part_ids)
+    }
+
     /// Number of jobs that were assigned to a replica and have not ended.
     pub fn running_on(&self, replica: &str) -> u32 {
         let load = self.loads.get(replica);
@@ -371,11 +396,12 @@
     pub fn decide(
         &mut self,
         pauses: &Pauses,
+        ledger: &Ledger,
         now: Instant,
         mut candidates: impl FnMut(&JobGroup, &Job, usize) -> Rc<[Candidate]>,
     ) -> Vec<Decision> {
         let initial_rate = PromptRate::new(now);
-        let mut decisions = Vec::new();
+        let mut decisions = self.bar(ledger, now);
         let mut ranked = Vec::new();
         let mut expired = Vec::new();
         for (group, queue) in &mut self.groups {
@@ -417,7 +443,15 @@
             let free = found
                 .iter()
                 .filter(|one| !job.excludes(&one.name, pauses, now));
-            if let Some((cost, chosen)) = self.cheapest_candidate(job, free, &prompt_rate, now) {
+            let ruling = ledger.ruling(&job.part_ids, now);
+            let candidate = match ruling {
+                Ruling::Free => self.cheapest_candidate(job, free, &prompt_rate, now),
+                Ruling::Trial if !self.is_in_flight(ledger, job, now) => {
+                    self.calmest_candidate(job, free, &prompt_rate, now)
+                }
+                Ruling::Trial | Ruling::Wait | Ruling::Barred => None,
+            };
+            if let Some((cost, chosen)) = candidate {
                 let adapter = job.adapter.clone();
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
@@ -430,6 +464,7 @@
                     version: chosen.version,
                     cost_ms: cost as u64,
                     holders: found.len(),
+                    is_trial: ruling == Ruling::Trial,
                 });
             } else if now >= job.refuse_at {
                 if let Some(service) = late_service {
@@ -443,6 +478,32 @@
         decisions
     }
 
+    /// Removes the waiting jobs with a prompt part that crashes replicas.
+    fn bar(&mut self, ledger: &Ledger, now: Instant) -> Vec<Decision> {
+        if ledger.is_empty() {
+            return Vec::new();
+        }
+        let barred = self.waiting.values();
+        let barred = barred.filter(|job| ledger.ruling(&job.part_ids, now) == Ruling::Barred);
+        let barred: Vec<JobNumber> = barred.map(|job| job.number).collect();
+        for number in &barred {
+            self.remove(*number);
+        }
+        let bar = |number| Decision::Bar { number };
+        barred.into_iter().map(bar).collect()
+    }
+
+    /// Whether an assigned job shares a suspected prompt part with a waiting one, and may not have
+    /// begun yet.
+    fn is_in_flight(&self, ledger: &Ledger, job: &Job, now: Instant) -> bool {
+        let mut running = self.running.values();
+        running.any(|running| {
+            let shared = |part: id::PromptPart| running.part_ids.contains(&part);
+            now < running.assigned_at + MAX_BEGIN_TIME
+                && ledger.suspected(&job.part_ids).any(shared)
+        })
+    }
+
     /// Groups whose jobs have waited longer than `limit` although replicas have what they need.
     pub fn saturated_groups(
         &self,
@@ -473,6 +534,24 @@
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
+    /// The candidate with the fewest open requests, with its cost; `None` if none can take the job
+    /// now.
+    fn calmest_candidate<'a>(
+        &self,
+        job: &Job,
+        candidates: impl Iterator<Item = &'a Candidate>,
+        prompt_rate: &PromptRate,
+        now: Instant,
+    ) -> Option<(f64, &'a Candidate)> {
+        candidates
+            .filter_map(|candidate| {
+                Some((self.cost_ms(job, candidate, prompt_rate, now)?, candidate))
+            })
+            .min_by_key(|(_, candidate)| {
+                candidate.unscheduled_requests + self.running_on(&candidate.name)
+            })
+    }
+
     /// Estimated milliseconds until a replica has processed a job's prompt, plus penalties for
     /// another zone and for load; `None` while the replica cannot take the job.
     fn cost_ms(
@@ -530,6 +609,8 @@
         let running = RunningJob {
             replica: replica.to_owned(),
             adapter: job.adapter,
+            part_ids: job.part_ids,
+            assigned_at: now,
         };
         self.running.insert(number, running);
     }
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -6,6 +6,7 @@
 
 use super::{
     prompt_rate::PromptRate,
+    quarantine::Ledger,
     scheduler::{self, Candidate, Decision, Job, Pauses, PromptPart, Scheduler},
 };
 
@@ -25,6 +26,7 @@
         objective: now + Duration::from_millis(750),
         refuse_at: now + Duration::from_millis(2800),
         tried: Vec::new(),
+        part_ids: Vec::new(),
     }
 }
 
@@ -41,14 +43,16 @@
 
 fn decide(scheduler: &mut Scheduler, found: &[Candidate], now: Instant) -> Vec<(u64, String)> {
     let found: Rc<[Candidate]> = found.into();
-    let decisions = scheduler.decide(&Pauses::default(), now, |_, _, _| found.clone());
+    let decisions = scheduler.decide(&Pauses::default(), &Ledger::default(), now, |_, _, _| {
+        found.clone()
+    });
     decisions
         .into_iter()
         .filter_map(|decision| match decision {
             Decision::Send {
                 number, replica, ..
             } => Some((number, replica)),
-            Decision::Refuse { .. } => None,
+            Decision::Refuse { .. } | Decision::Bar { .. } => None,
         })
         .collect()
 }
@@ -65,7 +69,7 @@
     let found: Rc<[Candidate]> = Rc::new([candidate("r1", "a"), candidate("r2", "b")]);
     let mut assigned = |job: Job, pauses: &Pauses, now: Instant| {
         scheduler.add(job);
-        let decisions = scheduler.decide(pauses, now, |_, _, _| found.clone());
+        let decisions = scheduler.decide(pauses, &Ledger::default(), now, |_, _, _| found.clone());
         match decisions.as_slice() {
             [Decision::Send { replica, .. }] => replica.clone(),
             other => panic!("{other:?}"),
@@ -188,7 +192,9 @@
     assert_eq!(decide(&mut scheduler, &found, now), [(3, "r1".to_owned())]);
     let found: Rc<[Candidate]> = found.as_slice().into();
     let later = now + Duration::from_millis(10);
-    let decisions = scheduler.decide(&Pauses::default(), later, |_, _, _| found.clone());
+    let decisions = scheduler.decide(&Pauses::default(), &Ledger::default(), later, |_, _, _| {
+        found.clone()
+    });
     assert_eq!(
         decisions,
         [Decision::Refuse {
@@ -206,11 +212,15 @@
     scheduler.add(job(1, now));
     assert!(
         scheduler
-            .decide(&Pauses::default(), now, |_, _, _| Rc::new([]))
+            .decide(&Pauses::default(), &Ledger::default(), now, |_, _, _| {
+                Rc::new([])
+            })
             .is_empty()
     );
     let later = now + Duration::from_millis(2800);
-    let decisions = scheduler.decide(&Pauses::default(), later, |_, _, _| Rc::new([]));
+    let decisions = scheduler.decide(&Pauses::default(), &Ledger::default(), later, |_, _, _| {
+        Rc::new([])
+    });
     assert_eq!(
         decisions,
         [Decision::Refuse {
--- a/crates/tanagershift/src/gateway/settings.rs
+++ b/crates/tanagershift/src/gateway/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::retry_budget;
+use super::{quarantine, retry_budget};
 use crate::ini::{self, Section};
 
 /// Settings of a gateway, from the section `[gateway]`.
@@ -28,6 +28,8 @@
     pub lease: Duration,
     /// Budget of retries that the platform allows.
     pub budget: retry_budget::Config,
+    /// Limits on requests with prompt parts that crash replicas.
+    pub quarantine: quarantine::Config,
 }
 
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
@@ -63,6 +65,7 @@
             version_bound: Duration::from_secs(5),
             lease: Duration::from_secs(3),
             budget: retry_budget::Config::default(),
+            quarantine: quarantine::Config::default(),
         };
         section.read("list-rate", &mut config.list_calls_per_second, parse_number)?;
         section.read("list-interval", &mut config.list_interval, ini::duration)?;
@@ -71,6 +74,11 @@
         section.read("repeat-ratio", &mut config.budget.ratio, parse_number)?;
         section.read("repeat-slack", &mut config.budget.slack, parse_number)?;
         section.read("repeat-window", &mut config.budget.window, ini::duration)?;
+        let crashes = &mut config.quarantine.conviction_crashes;
+        section.read("quarantine-crashes", crashes, |text| match text.parse() {
+            Ok(crashes) if crashes > 0 => Ok(crashes),
+            _ => Err(format!("`{text}` is not a number of at least 1")),
+        })?;
         if config.list_calls_per_second < 1.0 {
             return Err(section.error("list-rate", None, "must be at least 1"));
         }
--- a/crates/tanagershift/src/id.rs
+++ b/crates/tanagershift/src/id.rs
@@ -16,5 +16,7 @@
 pub type Term = u64;
 /// Position in the replicated log, from one.
 pub type Index = u64;
+/// Id of a part of a prompt; equal ids mean equal parts, also in different requests.
+pub type PromptPart = u64;
 /// Number of a stream within one connection; never used twice within it.
 pub type Stream = u64;
--- a/crates/tanagershift/src/voter/command.rs
+++ b/crates/tanagershift/src/voter/command.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "1")]
     pub at: u64,
     /// Operation to apply; a command without one changes nothing.
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub order: Option<Order>,
 }
 
@@ -48,6 +48,51 @@
     /// Records which host sends the orders to replicas from now on.
     #[prost(message, tag = "10")]
     Holder(Holder),
+    /// Records prompt parts that crash replicas.
+    #[prost(message, tag = "11")]
+    Quarantine(Quarantine),
+    /// Lifts a prompt part out of quarantine.
+    #[prost(message, tag = "12")]
+    Lift(Lift),
+}
+
+/// Changed marks of prompt parts.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Quarantine {
+    /// One mark a part.
+    #[prost(message, repeated, tag = "1")]
+    pub marks: Vec<Mark>,
+}
+
+/// Evidence that a prompt part crashes replicas.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Mark {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Crashes at different times; zero if the part is no longer suspected.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+    /// Whether requests with the part are rejected.
+    #[prost(bool, tag = "3")]
+    pub convicted: bool,
+    /// Services whose replicas crashed.
+    #[prost(string, repeated, tag = "4")]
+    pub services: Vec<String>,
+}
+
+/// Lifts a prompt part out of quarantine.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Lift {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Operator who lifts it.
+    #[prost(string, tag = "2")]
+    pub operator: String,
 }
 
 /// The host that sends the orders to replicas.
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    command::{Assign, Command, Effect, Holder, MemberChange, Order, Outcome},
+    command::{Assign, Command, Effect, Holder, Mark, MemberChange, Order, Outcome},
     feed::{catch_up, pack, routes, send_updates},
     folder::{identity_report, wait_for_group},
     lease::{self, Leases},
@@ -202,6 +202,8 @@
     status: SharedStatus,
     /// Copy of the announced versions that is shared with the published status.
     announced: Arc<BTreeMap<String, u64>>,
+    /// Copy of the marks of prompt parts that is shared with the published status.
+    marks: Arc<BTreeMap<id::PromptPart, Mark>>,
     /// Members that the last log line on the membership named.
     last_emitted_members: Members,
     /// Reads of the routing configuration, each with the heartbeat round that a majority must answer
@@ -334,6 +336,7 @@
         let state = State::decode(snapshot.data.clone())?;
         let applied = snapshot.index;
         let announced = Arc::new(state.announced().clone());
+        let marks = Arc::new(state.marks().clone());
         let node = Node::new(
             identity.member,
             identity.group,
@@ -358,6 +361,7 @@
             log_limit_bytes: LOG_GROWTH_BYTES,
             status,
             announced,
+            marks,
             last_emitted_members: Members::default(),
             pending_reads: Vec::new(),
             config,
@@ -469,6 +473,9 @@
         if *self.announced != *self.state.announced() {
             self.announced = Arc::new(self.state.announced().clone());
         }
+        if *self.marks != *self.state.marks() {
+            self.marks = Arc::new(self.state.marks().clone());
+        }
         let may_lead = self.leader_state.is_some() && lease_until.is_some();
         let leader_state = self.leader_state.as_ref().filter(|_| may_lead);
         let previous_holder = leader_state.and_then(|state| state.previous_holder.clone());
@@ -481,6 +488,7 @@
             leader: leader.map_or(String::new(), |leader| leader.address.clone()),
             document: self.state.document().cloned(),
             announced: self.announced.clone(),
+            marks: self.marks.clone(),
             holder: self.state.holder().to_owned(),
             previous_holder,
             order_age: self.node.order_age(),
--- a/crates/tanagershift/src/voter/report.rs
+++ b/crates/tanagershift/src/voter/report.rs
@@ -36,6 +36,7 @@
         "audit" => audit(view, query),
         "adapters" => adapters(view.state.catalog(), query),
         "replicas" => replicas(view),
+        "quarantine" => quarantine(view.state),
         _ => return None,
     };
     Some(value.to_string().into())
@@ -154,6 +155,19 @@
     })
 }
 
+/// Prompt parts that are suspected or convicted of crashing replicas.
+fn quarantine(state: &State) -> Value {
+    let row = |mark: &super::command::Mark| {
+        json!({
+            "part": format!("{:x}", mark.part),
+            "convicted": mark.convicted,
+            "crashes": mark.crashes,
+            "services": mark.services,
+        })
+    };
+    state.marks().values().map(row).collect()
+}
+
 fn replicas(view: &View<'_>) -> Value {
     let row = |upstream: &Upstream| {
         let assignment = view.state.assignments().get(&upstream.name);
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -7,7 +7,7 @@
 
 use super::command::{
     Announcement, Answer, Assignment, Audit, Claim, Claimed, Command, Document, Drain, Effect,
-    MemberChange, Move, Order, Outcome, Published, Settle, Standing,
+    Lift, Mark, MemberChange, Move, Order, Outcome, Published, Settle, Standing,
 };
 use crate::{
     catalog::{Catalog, ChangeSet, Item},
@@ -23,6 +23,8 @@
 /// Limit on the items in all kept change sets. The newest set is kept even if it alone exceeds
 /// the limit.
 const RECENT_ITEMS_KEPT: usize = 20_000;
+/// Number of prompt parts that are kept in quarantine; further ones are not recorded.
+const MARKS_KEPT: usize = 8_192;
 /// Protobuf field number of `Image::items`.
 const IMAGE_ITEMS_FIELD: u32 = 2;
 /// Milliseconds for which a claim and its recorded answer are kept: one day. Older ones are dropped
@@ -88,6 +90,8 @@
     announced: Vec<Announcement>,
     #[prost(string, tag = "12")]
     holder: String,
+    #[prost(message, repeated, tag = "13")]
+    marks: Vec<Mark>,
 }
 
 /// An item and the revision that accepted it.
@@ -121,6 +125,8 @@
     announced: BTreeMap<String, u64>,
     /// Host that sends the orders to replicas; empty before the first.
     holder: id::Host,
+    /// Prompt parts that are suspected or convicted of crashing replicas.
+    marks: BTreeMap<id::PromptPart, Mark>,
 }
 
 impl State {
@@ -159,6 +165,11 @@
         &self.holder
     }
 
+    /// Prompt parts that are suspected or convicted of crashing replicas.
+    pub fn marks(&self) -> &BTreeMap<id::PromptPart, Mark> {
+        &self.marks
+    }
+
     /// Number of claims that are kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -226,6 +237,13 @@
                 self.holder.clone_from(&holder.host);
                 Effect::Done(String::new())
             }
+            Some(Order::Quarantine(quarantine)) => {
+                for mark in &quarantine.marks {
+                    self.record_mark(mark);
+                }
+                Effect::Done(String::new())
+            }
+            Some(Order::Lift(lift)) => Effect::Done(self.lift(lift)),
             None => Effect::Done(String::new()),
         };
         Outcome::of(effect)
@@ -435,6 +453,41 @@
         String::new()
     }
 
+    fn record_mark(&mut self, mark: &Mark) {
+        let known = self.marks.get(&mark.part);
+        let was_convicted = known.is_some_and(|known| known.convicted);
+        if mark.crashes == 0 {
+            self.marks.remove(&mark.part);
+        } else if known.is_some() || self.marks.len() < MARKS_KEPT {
+            self.marks.insert(mark.part, mark.clone());
+        }
+        if mark.convicted != was_convicted {
+            self.record_audit(Audit {
+                what: format!("prompt part {:x} after {} crashes", mark.part, mark.crashes),
+                outcome: if mark.convicted {
+                    "quarantined"
+                } else {
+                    "cleared"
+                }
+                .to_owned(),
+                ..Audit::default()
+            });
+        }
+    }
+
+    fn lift(&mut self, lift: &Lift) -> String {
+        if self.marks.remove(&lift.part).is_none() {
+            return format!("prompt part {:x} is not in quarantine", lift.part);
+        }
+        self.record_audit(Audit {
+            operator: lift.operator.clone(),
+            what: format!("prompt part {:x}", lift.part),
+            outcome: "lifted".to_owned(),
+            ..Audit::default()
+        });
+        String::new()
+    }
+
     fn announce(&mut self, announcement: &Announcement) -> String {
         if self.is_newer_announcement(announcement) {
             let Announcement { adapter, version } = announcement.clone();
@@ -463,6 +516,7 @@
             document: self.document.clone(),
             announced: self.announcements().collect(),
             holder: self.holder.clone(),
+            marks: self.marks.values().cloned().collect(),
         };
         let mut bytes = image.encode_to_vec();
         // Items are encoded one at a time; collecting them first would take several times the memory
@@ -504,6 +558,11 @@
             latest_millis: image.at,
             document: image.document,
             holder: image.holder,
+            marks: image
+                .marks
+                .into_iter()
+                .map(|mark| (mark.part, mark))
+                .collect(),
             announced: image
                 .announced
                 .into_iter()
--- a/crates/tanagershift/src/voter/tests.rs
+++ b/crates/tanagershift/src/voter/tests.rs
@@ -11,8 +11,8 @@
 
 use super::{
     command::{
-        Answer, Assign, Claim, Claimed, Command, Effect, Move, Order, Outcome, Published, Settle,
-        Standing,
+        Answer, Assign, Claim, Claimed, Command, Effect, Lift, Mark, Move, Order, Outcome,
+        Published, Quarantine, Settle, Standing,
     },
     lease::{self, Leases},
     permit::{self, Permits},
@@ -725,3 +725,38 @@
     let granted = permits.grant(now, |_| false);
     assert_eq!(granted[0].1, "one second of three");
 }
+
+/// Guards against: a conviction is lost with a snapshot, or lifted by nobody.
+#[test]
+fn marks_of_prompt_parts_outlast_snapshots_until_they_are_lifted() {
+    let mark = |part, crashes, convicted| Mark {
+        part,
+        crashes,
+        convicted,
+        services: vec!["llm".to_owned()],
+    };
+    let record = |marks| Command::of(Order::Quarantine(Quarantine { marks }));
+    let lift = |part| {
+        let operator = "ana".to_owned();
+        Command::of(Order::Lift(Lift { part, operator }))
+    };
+    let mut state = State::default();
+    state.apply(&record(vec![
+        mark(7, 1, false),
+        mark(8, 3, true),
+        mark(9, 1, false),
+    ]));
+    state.apply(&record(vec![mark(7, 0, false)]));
+    let mut state = State::decode(state.encode()).unwrap();
+    let parts: Vec<u64> = state.marks().keys().copied().collect();
+    assert_eq!(parts, [8, 9]);
+    assert!(state.marks()[&8].convicted);
+    let outcome = |text: &str| Outcome::of(Effect::Done(text.to_owned()));
+    assert_eq!(state.apply(&lift(8)), outcome(""));
+    assert_eq!(
+        state.apply(&lift(8)),
+        outcome("prompt part 8 is not in quarantine")
+    );
+    let outcomes: Vec<&str> = state.audit().map(|audit| audit.outcome.as_str()).collect();
+    assert_eq!(outcomes, ["quarantined", "lifted"]);
+}
--- a/crates/tanagershiftctl/src/arguments.rs
+++ b/crates/tanagershiftctl/src/arguments.rs
@@ -55,6 +55,8 @@
     Adapters(Adapters),
     /// Show replicas and their holders.
     Replicas(Replicas),
+    /// Show or lift prompt parts that crash replicas.
+    Quarantine(Quarantine),
     /// Change the voters.
     Member(Member),
     /// Take a host out of service, or back in.
@@ -142,6 +144,22 @@
 #[argh(subcommand, name = "replicas")]
 pub struct Replicas {}
 
+/// Show prompt parts that are suspected or convicted of crashing replicas, or lift one.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quarantine")]
+pub struct Quarantine {
+    /// id of a part, as it is shown; its requests are sent to replicas again
+    #[argh(option, from_str_fn(prompt_part))]
+    pub lift: Option<u64>,
+    /// who lifts it (default: the environment's USER)
+    #[argh(option)]
+    pub operator: Option<String>,
+}
+
+fn prompt_part(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| format!("`{text}` is not a hexadecimal number"))
+}
+
 /// Change the voters.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "member")]
--- a/crates/tanagershiftctl/src/commands.rs
+++ b/crates/tanagershiftctl/src/commands.rs
@@ -23,7 +23,7 @@
 };
 
 /// Longest wait for an answer of the leader.
-const ASK_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait for one voter's answer; what is asked may be asked again.
 const ATTEMPT: Duration = Duration::from_millis(700);
 /// Time between two looks at the hosts.
@@ -89,11 +89,12 @@
 }
 
 /// Access to the group.
-struct Group {
+pub(crate) struct Group {
     pool: Pool,
     leader: Leader,
     voters: Vec<String>,
-    json: bool,
+    /// Whether JSON is printed in place of tables.
+    pub(crate) json: bool,
 }
 
 /// Carries a command out.
@@ -127,6 +128,7 @@
         arguments::Command::Audit(audit) => group.audit(audit.after, audit.limit).await,
         arguments::Command::Adapters(adapters) => group.adapters(&adapters).await,
         arguments::Command::Replicas(_) => group.replicas().await,
+        arguments::Command::Quarantine(quarantine) => group.quarantine(quarantine).await,
         arguments::Command::Member(member) => group.member(member.action).await,
         arguments::Command::Drain(drain) => group.drain(drain).await,
     }
@@ -138,7 +140,7 @@
     }
 }
 
-fn user() -> String {
+pub(crate) fn user() -> String {
     std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
 }
 
@@ -157,7 +159,7 @@
 }
 
 /// Rows of a list, each with the named cells.
-fn rows(list: &Value, keys: &[&str]) -> Vec<Vec<String>> {
+pub(crate) fn rows(list: &Value, keys: &[&str]) -> Vec<Vec<String>> {
     let row = |value: &Value| keys.iter().map(|key| shown(&value[*key])).collect();
     list.as_array().into_iter().flatten().map(row).collect()
 }
@@ -175,7 +177,7 @@
         }
     }
 
-    async fn query(&self, kind: &str, after: u64, limit: u64) -> Result<Value, Error> {
+    pub(crate) async fn query(&self, kind: &str, after: u64, limit: u64) -> Result<Value, Error> {
         let query = Query {
             kind: kind.to_owned(),
             after,
@@ -187,7 +189,7 @@
         }
     }
 
-    async fn propose(&self, order: Order, limit: Duration) -> Result<Effect, Error> {
+    pub(crate) async fn propose(&self, order: Order, limit: Duration) -> Result<Effect, Error> {
         let body = Body::Propose(Command::of(order));
         match self.ask(body, limit).await? {
             Body::Outcome(Outcome {
--- a/crates/tanagershiftctl/src/main.rs
+++ b/crates/tanagershiftctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod commands;
+mod quarantine;
 mod table;
 
 use std::process::ExitCode;
