limit: keep to the request rate that an upstream in need names

Change: an answer to a request, an order or a report that names a limit, or no longer does, is told to the leader at once, and by it to all gateways. The leader keeps one bucket an upstream: requests that it assigns and its orders spend it. Gateways that select upstreams by themselves need a permit, good for one request and one second, which the leader gives out by demand. So the sum holds with a fraction of a request a second, any number of gateways and a new leader. Requests wait for room only where the leader assigns them; an adapter that only full replicas have is loaded on another one; a plain service with every upstream at its limit refuses at once, with the time of the next permit.

--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -89,6 +89,10 @@
     PART_CONVICTED = 508, Error;
     /// A sound answer cleared a suspected part of a prompt.
     PART_CLEARED = 509, Info;
+    /// An upstream named a limit on its requests a second.
+    LIMIT_NAMED = 510, Info;
+    /// An upstream names no limit any more.
+    LIMIT_ENDED = 511, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -80,6 +80,8 @@
                 log::info!("event=leader.found term={}", first.term);
                 self.gateway.view().admission.forget_confirmations();
                 self.gateway.quarantine().replace(&first.marks);
+                self.gateway.view().limits.report_again(Instant::now());
+                self.gateway.tally_wanted.notify_one();
                 let accusations = self.gateway.quarantine().accusations(Instant::now());
                 if !accusations.is_empty() {
                     self.gateway.send_accusations(accusations).await;
@@ -219,6 +221,8 @@
                     pauses: view.pauses(Instant::now()),
                     accusations: Vec::new(),
                     sound: self.gateway.quarantine().take_sound(Instant::now()),
+                    limits: view.limits.take_reports(Instant::now()),
+                    limited_demand: view.take_limited_demand(),
                 }
             };
             self.gateway.leader.tell(Body::Tally(tally)).await;
--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -1,6 +1,6 @@
 //! Selects the upstream for a request.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
@@ -38,6 +38,9 @@
     /// Every upstream that could take the request has asked this host for a pause. The first pause
     /// ends at this time.
     Paused(Instant),
+    /// Every open upstream of the service has named a limit, and this gateway has no permit. Room is
+    /// expected after this time.
+    Limited(Duration),
     /// No replica has the adapter or base model that the request needs, or only ejected ones have
     /// it.
     NoReplica,
@@ -65,7 +68,12 @@
     if open.is_empty() {
         return choose_paused(view, requirements, &live, now);
     }
-    let live = open;
+    let permitted = |known: &&KnownUpstream| view.limits.permits(&known.upstream.name, now);
+    let live: Vec<&KnownUpstream> = open.iter().copied().filter(permitted).collect();
+    if live.is_empty() {
+        let names = open.iter().map(|known| known.upstream.name.as_str());
+        return Choice::Limited(view.limits.retry_after(names, view.hosts));
+    }
     let Some(wanted) = requirements.adapter.or(requirements.model) else {
         let best = least_busy(
             live.into_iter().map(|known| (known, None)),
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -53,7 +53,7 @@
 }
 
 /// Parsed head of a replica's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that the response answers.
     pub id: Option<String>,
@@ -69,6 +69,8 @@
     pub instance: Option<String>,
     /// Whether the replica announces that it leaves.
     pub leaving: bool,
+    /// Requests a second that the replica takes from all hosts together, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 /// What an order makes a replica do.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -161,10 +161,15 @@
     resume_after: Option<u64>,
 ) -> Result<UpstreamResponse, FailedAttempt> {
     let (version, is_trial) = (selected.version, selected.is_trial);
+    let is_granted = selected.grant.is_some();
     let upstream = &selected.upstream.clone();
     let guard = UpstreamRequestGuard::new(gateway.clone(), selected);
     let mut progress = Progress::new(Instant::now());
-    let sent = send(gateway, job, upstream, version, resume_after, is_trial);
+    let clearance = Clearance {
+        is_trial,
+        is_granted,
+    };
+    let sent = send(gateway, job, upstream, version, resume_after, clearance);
     let outcome = timeout_at(job.deadline, sent).await;
     let now = Instant::now();
     let (connection, response) = match outcome {
@@ -191,6 +196,9 @@
     let (head, body) = response.into_parts();
     let parsed_head = gateway.dialect.parse_response_head(&head);
     gateway.apply_signal(upstream, &head, &parsed_head, Origin::Answer);
+    if parsed_head.id.as_deref() == Some(job.head.id.as_str()) {
+        gateway.observe_limit(upstream, &parsed_head);
+    }
     let response = UpstreamResponse {
         head,
         parsed_head,
@@ -211,13 +219,22 @@
     }
 }
 
+/// What the leader has decided about a request.
+#[derive(Clone, Copy, Debug)]
+struct Clearance {
+    /// It may run although a part of its prompt is suspected.
+    is_trial: bool,
+    /// It was assigned to its upstream.
+    is_granted: bool,
+}
+
 async fn send(
     gateway: &Gateway,
     job: &Job,
     upstream: &Upstream,
     version: Option<u64>,
     resume_after: Option<u64>,
-    is_trial: bool,
+    clearance: Clearance,
 ) -> Result<(Connection, Response<Incoming>), Error> {
     let parts = shareable_parts(&job.head.prompt_parts);
     let mut last_error = Error::Unsent;
@@ -230,9 +247,15 @@
             return Err(Error::Withheld);
         }
         let standing = gateway.quarantine().standing(&parts);
-        if standing == Standing::Convicted || standing == Standing::Suspected && !is_trial {
+        if standing == Standing::Convicted || standing == Standing::Suspected && !clearance.is_trial
+        {
             return Err(Error::Quarantined);
         }
+        // The leader has counted the requests that it assigned.
+        let now = Instant::now();
+        if !clearance.is_granted && !gateway.view().limits.take(&upstream.name, now) {
+            return Err(Error::Withheld);
+        }
         match connection.send(request).await {
             Ok(response) => return Ok((connection, response)),
             Err(Error::Unsent) => last_error = Error::Unsent,
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -486,6 +486,7 @@
         gateway.metrics.quarantined_requests.inc();
         return Err(Rejection::quarantined(standing));
     }
+    gateway.view().count_limited_demand(&job.service);
     let startup_until = job.received_at + STARTUP_WAIT.min((job.deadline - job.received_at) / 2);
     let mut wait_guard: Option<AdapterWaitGuard> = None;
     let mut changes = gateway.placement_changes.subscribe();
@@ -516,6 +517,11 @@
                     is_trial: false,
                 });
             }
+            Choice::Limited(after) => {
+                let mut rejection = Rejection::retry_later("every upstream is at its limit");
+                rejection.retry_after = Some(after);
+                return Err(rejection);
+            }
             Choice::Paused(until) => {
                 let mut rejection = Rejection::retry_later("every upstream has asked for a pause");
                 rejection.retry_after = Some(until - now);
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -3,10 +3,12 @@
 //!
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
 //! * `queue`: queues gateways' requests for a replica and answers them.
+//! * `limits`: spreads upstreams' limits, and hands out permits.
 //! * `notices`: messages to and from gateways.
 //! * `quarantine`: spreads and replicates the marks of prompt parts.
 
 mod configuration_history;
+mod limits;
 mod notices;
 mod quarantine;
 mod queue;
@@ -28,6 +30,7 @@
 use super::{
     Gateway,
     dialect::{Order, OrderOutcome, Report},
+    limit::Limits,
     message::{Ask, Counts, List, Mark, Notice, Residency, Tally, Upstream, Watch},
     orders,
     placement::{self, Action, Adapter, Placement},
@@ -151,6 +154,8 @@
     departures: Admission,
     /// Pauses that replicas have asked gateways for.
     pauses: Pauses,
+    /// Request rates that upstreams have named.
+    limits: Limits,
     /// Evidence against prompt parts that crash replicas.
     ledger: Ledger,
     /// Marks of prompt parts as they are replicated.
@@ -243,6 +248,9 @@
             return idle;
         };
         let mut wake = state.next_notice;
+        if !state.limits.is_empty() {
+            wake = wake.min(Instant::now() + limits::PERMIT_INTERVAL);
+        }
         if state.marks_differ {
             wake = wake.min(state.next_marks_proposal);
         }
@@ -349,6 +357,7 @@
             gateways: BTreeMap::new(),
             departures: Admission::default(),
             pauses: Pauses::default(),
+            limits: Limits::default(),
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
             marks_differ: false,
@@ -405,9 +414,13 @@
         state.input_pending = false;
         state.sweep(now);
         state.spread_marks(&self.gateway, now);
+        state.spread_limits(now);
         state.decide(now);
         let may_order = state.may_order(&self.voter_status, now);
         for action in state.placement.tick(may_order, now) {
+            if let Action::Order { replica, .. } = &action {
+                state.limits.spend(replica, now);
+            }
             carry_out(
                 &self.gateway,
                 &self.voter_status,
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -59,6 +59,8 @@
             interval_ms: self.notice_interval().as_millis() as u32,
             leaving: self.departing(now),
             marks: self.ledger.marks().collect(),
+            limits: self.limits.reports(),
+            permits: Vec::new(),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -101,6 +103,7 @@
         self.record_departures(&tally.leaving, now);
         self.record_pauses(&tally, own_host, now);
         self.record_evidence(&tally, now);
+        self.record_limits(&tally, now);
         for demand in &tally.demand {
             if demand.waiting > 0 {
                 let hosts = self
@@ -202,6 +205,7 @@
         let first = self.list.number == 0;
         self.placement.set_upstreams(&upstreams, now);
         let listed: BTreeSet<&str> = upstreams.iter().map(|one| one.name.as_str()).collect();
+        self.limits.retain_listed(&listed, now);
         self.scheduler.retain_replicas(|name| listed.contains(name));
         self.unscheduled_requests
             .retain(|name, _| listed.contains(name.as_str()));
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -125,30 +125,31 @@
             version,
         };
         let (mut missing, mut tried) = (Vec::new(), Vec::new());
-        let decisions = self
-            .scheduler
-            .decide(pauses, ledger, now, |group, oldest, jobs| {
-                let serves_group =
-                    |one: &&placement::Replica| one.upstream.service == group.service;
-                let Some(adapter) = &group.adapter else {
-                    let holders = placement.holders(&group.model).filter(serves_group);
-                    return holders.map(|one| candidate(one, None)).collect();
-                };
-                let usable = placement.usable(adapter, now).into_iter();
-                let usable = usable.filter(|(one, _)| serves_group(one));
-                let found: Rc<[Candidate]> = usable
-                    .map(|(one, version)| candidate(one, Some(version)))
-                    .collect();
-                if found.is_empty() {
-                    missing.push((adapter.clone(), jobs));
-                } else if found
-                    .iter()
-                    .all(|one| oldest.excludes(&one.name, pauses, now))
-                {
-                    tried.push(adapter.clone());
-                }
-                found
-            });
+        let full = self.limits.full(now);
+        let limits = &mut self.limits;
+        let decisions =
+            self.scheduler
+                .decide(pauses, ledger, limits, now, |group, oldest, jobs| {
+                    let serves_group =
+                        |one: &&placement::Replica| one.upstream.service == group.service;
+                    let Some(adapter) = &group.adapter else {
+                        let holders = placement.holders(&group.model).filter(serves_group);
+                        return holders.map(|one| candidate(one, None)).collect();
+                    };
+                    let usable = placement.usable(adapter, now).into_iter();
+                    let usable = usable.filter(|(one, _)| serves_group(one));
+                    let found: Rc<[Candidate]> = usable
+                        .map(|(one, version)| candidate(one, Some(version)))
+                        .collect();
+                    if found.is_empty() {
+                        missing.push((adapter.clone(), jobs));
+                    } else if found.iter().all(|one| {
+                        full.contains(&one.name) || oldest.excludes(&one.name, pauses, now)
+                    }) {
+                        tried.push(adapter.clone());
+                    }
+                    found
+                });
         for (adapter, jobs) in missing {
             self.placement.request_load(&adapter, jobs as u32, now);
         }
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -73,6 +73,13 @@
     /// notice of a watch carries all that are.
     #[prost(message, repeated, tag = "13")]
     pub marks: Vec<Mark>,
+    /// Limits that upstreams have named, changed or ended; the first notice of a watch carries all
+    /// that are in force.
+    #[prost(message, repeated, tag = "14")]
+    pub limits: Vec<LimitReport>,
+    /// Permits for the receiving gateway.
+    #[prost(message, repeated, tag = "15")]
+    pub permits: Vec<Permit>,
 }
 
 /// The platform's list of upstreams.
@@ -198,6 +205,48 @@
     /// Marked prompt parts that a sound answer had.
     #[prost(message, repeated, tag = "10")]
     pub sound: Vec<SoundPart>,
+    /// Limits that answers to this gateway have named, changed or ended.
+    #[prost(message, repeated, tag = "11")]
+    pub limits: Vec<LimitReport>,
+    /// Requests for services that have an upstream with a limit, since the previous tally.
+    #[prost(message, repeated, tag = "12")]
+    pub limited_demand: Vec<ServiceDemand>,
+}
+
+/// How many requests an upstream takes from all hosts together.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct LimitReport {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests a second; absent once the upstream no longer names a limit.
+    #[prost(double, optional, tag = "2")]
+    pub per_second: Option<f64>,
+    /// Milliseconds since the answer that named or ended it.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
+/// Lets a gateway send one request to an upstream with a limit.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Permit {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+}
+
+/// Request count of one service.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct ServiceDemand {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Requests since the previous tally.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
 }
 
 /// A replica crashed when it had just begun to answer a request.
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
     /// Requests that were not sent to a selected upstream because it leaves or has asked for a
     /// pause.
     pub withheld: Counter,
+    /// Limits that upstreams named, changed or ended.
+    pub limits: Counter,
     /// Replicas that crashed on a request of this gateway.
     pub crash_reports: Counter,
     /// Requests rejected for a prompt part that crashes replicas.
@@ -74,6 +76,7 @@
             departures: Counter::default(),
             pauses: Counter::default(),
             withheld: Counter::default(),
+            limits: Counter::default(),
             crash_reports: Counter::default(),
             quarantined_requests: Counter::default(),
             suspected_parts: Gauge::default(),
@@ -113,6 +116,8 @@
         registry.register("pauses", help, self.pauses.clone());
         let help = "Requests not sent to an upstream that leaves or has asked for a pause";
         registry.register("withheld", help, self.withheld.clone());
+        let help = "Limits that upstreams named, changed or ended";
+        registry.register("limits", help, self.limits.clone());
         let help = "Replicas that crashed on a request of this gateway";
         registry.register("crash_reports", help, self.crash_reports.clone());
         let help = "Requests rejected for a prompt part that crashes replicas";
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! * `placement`: decides which adapter is loaded on which replica; `orders` carries it out.
 //! * `signal`: applies what upstreams' answers say about further requests.
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
+//! * `limit`: request rates that upstreams in need have named.
 //! * `upstream_list`: reads the list page by page.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
@@ -31,6 +32,9 @@
 pub mod exchange;
 pub mod forward;
 pub mod hub;
+pub mod limit;
+#[cfg(test)]
+mod limit_tests;
 pub mod message;
 pub mod metrics;
 pub mod orders;
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -41,6 +41,7 @@
         Ok((head, _)) => {
             let parsed_head = gateway.dialect.parse_response_head(head);
             gateway.apply_signal(&upstream, head, &parsed_head, Origin::Order);
+            gateway.observe_limit(&upstream, &parsed_head);
             gateway.dialect.order_outcome(head.status)
         }
         Err(Error::Connect { .. } | Error::Withheld | Error::Quarantined) => OrderOutcome::Gone,
@@ -73,6 +74,7 @@
                 if report.started_at_ms == upstream.started_at_ms {
                     let parsed_head = gateway.dialect.parse_response_head(&head);
                     gateway.apply_signal(&upstream, &head, &parsed_head, Origin::Report);
+                    gateway.observe_limit(&upstream, &parsed_head);
                 }
                 Some(report)
             }
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -13,6 +13,7 @@
 use super::{Config, Ledger, Register, Ruling, Standing, shareable_parts};
 use crate::{
     gateway::{
+        limit::Limits,
         message::{Accusation, SoundPart},
         scheduler::{self, Candidate, Decision, Job, Pauses, Scheduler},
     },
@@ -350,11 +351,13 @@
         let down_until = &self.down_until;
         let up = |one: &Candidate| down_until.get(&one.name).is_none_or(|until| *until <= ms);
         let found: Rc<[Candidate]> = (0..REPLICAS).map(candidate).filter(up).collect();
-        let decisions = self
-            .scheduler
-            .decide(&Pauses::default(), &self.ledger, now, |_, _, _| {
-                found.clone()
-            });
+        let decisions = self.scheduler.decide(
+            &Pauses::default(),
+            &self.ledger,
+            &mut Limits::default(),
+            now,
+            |_, _, _| found.clone(),
+        );
         for decision in decisions {
             let Decision::Send {
                 number,
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::{
+    limit::Limits,
     message::Streams,
     prompt_rate::PromptRate,
     quarantine::{Ledger, Ruling},
@@ -397,6 +398,7 @@
         &mut self,
         pauses: &Pauses,
         ledger: &Ledger,
+        limits: &mut Limits,
         now: Instant,
         mut candidates: impl FnMut(&JobGroup, &Job, usize) -> Rc<[Candidate]>,
     ) -> Vec<Decision> {
@@ -442,7 +444,8 @@
             let late_service = late_and_busy.then(|| job.service.clone());
             let free = found
                 .iter()
-                .filter(|one| !job.excludes(&one.name, pauses, now));
+                .filter(|one| !job.excludes(&one.name, pauses, now))
+                .filter(|one| limits.has_room(&one.name, now));
             let ruling = ledger.ruling(&job.part_ids, now);
             let candidate = match ruling {
                 Ruling::Free => self.cheapest_candidate(job, free, &prompt_rate, now),
@@ -456,6 +459,7 @@
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
                 }
+                limits.spend(&chosen.name, now);
                 self.assign(number, &chosen.name, now);
                 decisions.push(Decision::Send {
                     number,
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -5,6 +5,8 @@
 use tokio::time::Instant;
 
 use super::{
+    limit::Limits,
+    message::LimitReport,
     prompt_rate::PromptRate,
     quarantine::Ledger,
     scheduler::{self, Candidate, Decision, Job, Pauses, PromptPart, Scheduler},
@@ -43,9 +45,13 @@
 
 fn decide(scheduler: &mut Scheduler, found: &[Candidate], now: Instant) -> Vec<(u64, String)> {
     let found: Rc<[Candidate]> = found.into();
-    let decisions = scheduler.decide(&Pauses::default(), &Ledger::default(), now, |_, _, _| {
-        found.clone()
-    });
+    let decisions = scheduler.decide(
+        &Pauses::default(),
+        &Ledger::default(),
+        &mut Limits::default(),
+        now,
+        |_, _, _| found.clone(),
+    );
     decisions
         .into_iter()
         .filter_map(|decision| match decision {
@@ -69,7 +75,13 @@
     let found: Rc<[Candidate]> = Rc::new([candidate("r1", "a"), candidate("r2", "b")]);
     let mut assigned = |job: Job, pauses: &Pauses, now: Instant| {
         scheduler.add(job);
-        let decisions = scheduler.decide(pauses, &Ledger::default(), now, |_, _, _| found.clone());
+        let decisions = scheduler.decide(
+            pauses,
+            &Ledger::default(),
+            &mut Limits::default(),
+            now,
+            |_, _, _| found.clone(),
+        );
         match decisions.as_slice() {
             [Decision::Send { replica, .. }] => replica.clone(),
             other => panic!("{other:?}"),
@@ -192,9 +204,13 @@
     assert_eq!(decide(&mut scheduler, &found, now), [(3, "r1".to_owned())]);
     let found: Rc<[Candidate]> = found.as_slice().into();
     let later = now + Duration::from_millis(10);
-    let decisions = scheduler.decide(&Pauses::default(), &Ledger::default(), later, |_, _, _| {
-        found.clone()
-    });
+    let decisions = scheduler.decide(
+        &Pauses::default(),
+        &Ledger::default(),
+        &mut Limits::default(),
+        later,
+        |_, _, _| found.clone(),
+    );
     assert_eq!(
         decisions,
         [Decision::Refuse {
@@ -212,15 +228,23 @@
     scheduler.add(job(1, now));
     assert!(
         scheduler
-            .decide(&Pauses::default(), &Ledger::default(), now, |_, _, _| {
-                Rc::new([])
-            })
+            .decide(
+                &Pauses::default(),
+                &Ledger::default(),
+                &mut Limits::default(),
+                now,
+                |_, _, _| { Rc::new([]) }
+            )
             .is_empty()
     );
     let later = now + Duration::from_millis(2800);
-    let decisions = scheduler.decide(&Pauses::default(), &Ledger::default(), later, |_, _, _| {
-        Rc::new([])
-    });
+    let decisions = scheduler.decide(
+        &Pauses::default(),
+        &Ledger::default(),
+        &mut Limits::default(),
+        later,
+        |_, _, _| Rc::new([]),
+    );
     assert_eq!(
         decisions,
         [Decision::Refuse {
@@ -299,3 +323,38 @@
     let found = [candidate("r1", "a"), candidate("r2", "b")];
     assert_eq!(decide(&mut scheduler, &found, now), [(1, "r2".to_owned())]);
 }
+
+/// A replica in need: it is assigned what it takes, and the rest goes to the others.
+#[test]
+fn a_replica_at_its_limit_is_assigned_no_more_than_it_takes() {
+    let began = Instant::now();
+    let mut scheduler = Scheduler::new(scheduler::Config::default());
+    let mut limits = Limits::default();
+    let limit = LimitReport {
+        upstream: "r1".to_owned(),
+        per_second: Some(2.0),
+        age_ms: 0,
+    };
+    limits.observe(&limit, began);
+    let found: Rc<[Candidate]> = Rc::new([candidate("r1", "a"), candidate("r2", "a")]);
+    let mut assigned: Vec<String> = Vec::new();
+    for number in 0..100 {
+        let now = began + Duration::from_millis(number * 100);
+        scheduler.add(job(number, now));
+        let (pauses, ledger) = (Pauses::default(), Ledger::default());
+        let decisions =
+            scheduler.decide(&pauses, &ledger, &mut limits, now, |_, _, _| found.clone());
+        for decision in decisions {
+            if let Decision::Send {
+                number, replica, ..
+            } = decision
+            {
+                scheduler.end_job(number);
+                assigned.push(replica);
+            }
+        }
+    }
+    let limited = assigned.iter().filter(|replica| *replica == "r1").count();
+    assert!((10..=21).contains(&limited), "{limited} in 10 s");
+    assert!(assigned.len() >= 95, "{} of 100", assigned.len());
+}
--- a/crates/tanagershift/src/gateway/signal.rs
+++ b/crates/tanagershift/src/gateway/signal.rs
@@ -25,6 +25,19 @@
         self.observe(&upstream.name, &upstream.address, signal, origin);
     }
 
+    /// Applies the limit that an upstream's answer names, or that it names none any more.
+    pub fn observe_limit(&self, upstream: &Upstream, parsed_head: &ResponseHead) {
+        let instance = parsed_head.instance.as_deref();
+        if instance.is_some_and(|instance| instance != upstream.instance) {
+            return;
+        }
+        let (limit, now) = (parsed_head.limit, Instant::now());
+        if self.view().limits.observe(&upstream.name, limit, now) {
+            self.metrics.limits.inc();
+            self.tally_wanted.notify_one();
+        }
+    }
+
     /// Applies the departures that a notice of the leader names.
     pub fn apply_departures(&self, upstreams: &[String]) {
         let signal = Signal {
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -283,7 +283,7 @@
         };
         match choose(view, &requirements, now) {
             Choice::Send(upstream, version) => Some((upstream.name.clone(), version)),
-            Choice::NoReplica | Choice::NoUpstream | Choice::Paused(_) => None,
+            Choice::NoReplica | Choice::NoUpstream | Choice::Paused(_) | Choice::Limited(_) => None,
         }
     }
 
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -11,7 +11,8 @@
 
 use super::{
     configuration::Configuration,
-    message::{Counts, Demand, List, Notice, Pause, Residency, Upstream},
+    limit::Permits,
+    message::{Counts, Demand, List, Notice, Pause, Residency, ServiceDemand, Upstream},
     placement::FIRST_VERSION,
 };
 use crate::{admission::Admission, id};
@@ -95,6 +96,10 @@
     pub hosts: u32,
     /// Upstreams that leave or have asked this host for a pause.
     pub admission: Admission,
+    /// Limits that upstreams have named, and permits to send to them.
+    pub limits: Permits,
+    /// Requests for services that have an upstream with a limit, since the previous tally.
+    limited_demand: BTreeMap<String, u32>,
     list_number: u64,
     /// Upstream names in the order of the list.
     list_order: Vec<id::Upstream>,
@@ -137,6 +142,12 @@
         if let Some(open) = &notice.open {
             self.apply_open(open);
         }
+        for limit in &notice.limits {
+            self.limits.set(&limit.upstream, limit.per_second);
+        }
+        for permit in &notice.permits {
+            self.limits.add(permit, now);
+        }
         if notice.hosts > 0 {
             self.hosts = notice.hosts;
         }
@@ -181,6 +192,7 @@
             .retain(|_, residencies| !residencies.is_empty());
         let names: BTreeSet<&str> = self.list_order.iter().map(String::as_str).collect();
         self.admission.retain_listed(&names, now);
+        self.limits.retain_listed(&names);
     }
 
     fn apply_residency(&mut self, residency: &Residency) {
@@ -347,6 +359,24 @@
         }
     }
 
+    /// Counts a request for a service towards its demand for upstreams with a limit.
+    pub fn count_limited_demand(&mut self, service: &str) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let requests = self.limited_demand.entry(service.to_owned()).or_default();
+        *requests += 1;
+    }
+
+    /// Takes the demand for upstreams with a limit since the previous tally.
+    pub fn take_limited_demand(&mut self) -> Vec<ServiceDemand> {
+        let demand = std::mem::take(&mut self.limited_demand);
+        let demand = demand.into_iter();
+        demand
+            .map(|(service, requests)| ServiceDemand { service, requests })
+            .collect()
+    }
+
     /// Counts a request that is being sent to an upstream.
     pub fn count_opened(&mut self, upstream: &str) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
