gateway: give up answers without end

An event longer than 256 KiB was relayed in pieces, so a stream that turned into such bytes was passed on until its deadline. A body that is not a stream was held up to 32 MiB each, so twelve of them took more than a host has. Change: more bytes than an event may have, without the end of one, break the stream off. The bodies that are arriving share 32 MiB; the one that exceeds it fails. Answers to orders and reports are bounded at 1 MiB.

--- a/crates/tanagershift/src/gateway/client.rs
+++ b/crates/tanagershift/src/gateway/client.rs
@@ -13,8 +13,10 @@
 
 use super::connection::{Error, Pool};
 
-/// Largest body of a response.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Largest body of a page of the upstream list.
+const MAX_PAGE_BYTES: usize = 8 << 20;
+/// Largest body of a replica's answer to an order or a request for a report.
+pub const MAX_REPORT_BYTES: usize = 1 << 20;
 
 /// A request to the platform or to a replica.
 #[derive(Clone, Debug)]
@@ -27,6 +29,8 @@
     pub headers: HeaderMap,
     /// Body; empty for none.
     pub body: Bytes,
+    /// Largest body of the response.
+    pub max_response_bytes: usize,
 }
 
 impl ApiRequest {
@@ -37,6 +41,7 @@
             path: path.into(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            max_response_bytes: MAX_PAGE_BYTES,
         }
     }
 }
@@ -84,7 +89,9 @@
             Err(error) => return Err(error),
         };
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = Limited::new(body, api_request.max_response_bytes)
+            .collect()
+            .await;
         let body = body.map_err(|error| broken(error.to_string()))?.to_bytes();
         let connection_header = head.headers.get(CONNECTION);
         let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
--- a/crates/tanagershift/src/gateway/event_stream.rs
+++ b/crates/tanagershift/src/gateway/event_stream.rs
@@ -3,7 +3,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event that is held back until it is complete; a longer one is relayed in pieces.
+/// Longest event that is held back until it is complete; longer bytes are no event.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits a stream into complete events and remembers the id of the last one.
@@ -26,10 +26,8 @@
             return bytes;
         }
         self.partial.extend_from_slice(&bytes);
-        let end = match end_of_events(&self.partial) {
-            Some(end) => end,
-            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.len(),
-            None => return Bytes::new(),
+        let Some(end) = end_of_events(&self.partial) else {
+            return Bytes::new();
         };
         let complete = self.partial.split_to(end).freeze();
         self.record_last_id(&complete);
@@ -41,6 +39,11 @@
         self.partial.is_empty()
     }
 
+    /// Whether the bytes after the last complete event are too many to be one.
+    pub fn is_overlong(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -1,7 +1,7 @@
 //! Handles a caller's request: finds its route, selects an upstream, sends the request, retries it
 //! where that is allowed, and relays the response.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering::Relaxed};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -303,9 +303,13 @@
     let limit = MAX_RESPONSE_BYTES;
     let read = async {
         let mut bytes = bytes::BytesMut::new();
+        let mut buffered = BufferedBytes::new(gateway);
         while let Some(frame) = upstream_response.body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             if let Some(data) = frame.data_ref() {
+                if !buffered.grow(data.len()) {
+                    return Err("the answers in memory are too large".to_owned());
+                }
                 upstream_response.progress.record_event(Instant::now());
                 bytes.extend_from_slice(data);
             }
@@ -341,6 +345,33 @@
 
 /// Largest body of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Most bytes of all such bodies together that are held while they arrive.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
+/// Counts the bytes of one body towards those of all bodies that are arriving, until dropped.
+struct BufferedBytes<'a> {
+    gateway: &'a Gateway,
+    count: usize,
+}
+
+impl<'a> BufferedBytes<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        Self { gateway, count: 0 }
+    }
+
+    /// Counts more bytes; false if all bodies together are too large.
+    fn grow(&mut self, count: usize) -> bool {
+        let before = self.gateway.buffered_bytes.fetch_add(count, Relaxed);
+        self.count += count;
+        before + count <= MAX_BUFFERED_BYTES
+    }
+}
+
+impl Drop for BufferedBytes<'_> {
+    fn drop(&mut self) {
+        self.gateway.buffered_bytes.fetch_sub(self.count, Relaxed);
+    }
+}
 
 fn response_without_body(
     gateway: &Gateway,
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -58,7 +58,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::Duration,
 };
 
@@ -118,6 +118,8 @@
     pub configured: watch::Sender<bool>,
     /// When the process started.
     pub started_at: Instant,
+    /// Bytes of responses that are held while they arrive.
+    pub buffered_bytes: AtomicUsize,
     view: Mutex<View>,
     budget: Mutex<RetryBudget>,
     quarantine: Mutex<Register>,
@@ -151,6 +153,7 @@
             draining: watch::Sender::new(false),
             configured: watch::Sender::new(false),
             started_at: Instant::now(),
+            buffered_bytes: AtomicUsize::new(0),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
             quarantine: Mutex::default(),
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -30,6 +30,7 @@
         path: path.to_owned(),
         headers,
         body,
+        max_response_bytes: client::MAX_REPORT_BYTES,
     };
     // Checked last, since the process may have been suspended at any point before.
     if !voter_status.may_order() {
@@ -66,7 +67,10 @@
 /// Fetches the report of a replica; `None` if there is no valid answer.
 pub async fn fetch_report(gateway: Arc<Gateway>, upstream: Upstream) -> Option<Report> {
     let address = &upstream.address;
-    let api_request = ApiRequest::get(gateway.dialect.report_path());
+    let api_request = ApiRequest {
+        max_response_bytes: client::MAX_REPORT_BYTES,
+        ..ApiRequest::get(gateway.dialect.report_path())
+    };
     match client::fetch(&gateway.pool, address, &api_request, REPORT_TIMEOUT).await {
         Ok((head, body)) if head.status.is_success() => match gateway.dialect.parse_report(&body) {
             Ok(report) => {
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -190,6 +190,9 @@
                 // Trailers carry nothing that the caller needs.
                 let data = frame.into_data().ok()?;
                 let events = self.splitter.push(data);
+                if events.is_empty() && self.splitter.is_overlong() {
+                    return self.resume_or_fail("the stream holds bytes that are no event");
+                }
                 if events.is_empty() {
                     return None;
                 }
