quarantine: count a crash once, however often the leader changes

Cause: gateways report their last crashes to each new leader, which had the replicated count but not the replicas behind it, so it counted them again. Three changes of the leader convicted a part after one crash. Change: a restored suspicion ignores crashes from before it was restored.

--- a/crates/tanagershift/src/gateway/quarantine/ledger.rs
+++ b/crates/tanagershift/src/gateway/quarantine/ledger.rs
@@ -66,6 +66,8 @@
     crashes: u32,
     convicted: bool,
     last_crash: Instant,
+    /// Crashes before this time are counted already, by an earlier leader.
+    counted_until: Option<Instant>,
     /// Runs of replicas that crashed on it.
     replicas: BTreeSet<id::Upstream>,
     /// Services of these replicas that have not answered such a request soundly since.
@@ -109,6 +111,7 @@
             crashes: mark.crashes,
             convicted: mark.convicted,
             last_crash: now,
+            counted_until: Some(now),
             replicas: BTreeSet::new(),
             services: mark.services.iter().cloned().collect(),
             companions: None,
@@ -168,6 +171,7 @@
             crashes: 0,
             convicted: false,
             last_crash: crashed_at,
+            counted_until: None,
             replicas: BTreeSet::new(),
             services: BTreeSet::new(),
             companions: companions.cloned(),
@@ -179,7 +183,10 @@
             let common = known.intersection(companions);
             *known = Arc::new(common.copied().collect());
         }
-        if !suspect.replicas.insert(accusation.upstream.clone()) {
+        let is_counted = suspect
+            .counted_until
+            .is_some_and(|until| crashed_at < until);
+        if is_counted || !suspect.replicas.insert(accusation.upstream.clone()) {
             return;
         }
         suspect.services.insert(accusation.service.clone());
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -221,6 +221,26 @@
     assert_eq!(next.ruling(&[POISON], later), Ruling::Free);
 }
 
+/// Guards against: crashes that an earlier leader has counted are counted again when gateways report
+/// them to each new leader, so that a part with one crash is convicted.
+#[test]
+fn a_crash_counts_once_however_often_the_leader_changes() {
+    let began = Instant::now();
+    let mut ledger = Ledger::default();
+    ledger.accuse(&accusation("a", &[7]), began);
+    for change in 1..5 {
+        let now = began + Duration::from_secs(change);
+        let marks = ledger.marks().map(|mark| (mark.part, mark)).collect();
+        ledger = Ledger::new(Config::default(), &marks, now);
+        let again = Accusation {
+            silent_ms: change * 1000,
+            ..accusation("a", &[7])
+        };
+        ledger.accuse(&again, now);
+        assert_eq!(ledger.ruling(&[7], now), Ruling::Trial);
+    }
+}
+
 /// What a gateway does without a leader, with the marks that it last heard of.
 #[test]
 fn a_gateway_without_a_leader_keeps_to_its_marks_and_its_own_accusations() {
