quarantine: a report of a crash outlives its caller

Cause: the report was part of the request's own work, which ends when the caller leaves. A caller that leaves as its replica crashes took the evidence along. Change: the report is a task of its own; a request that goes on still waits for it. Found by reading; no run shows it.

--- a/crates/tanagershift/src/gateway/quarantine/report.rs
+++ b/crates/tanagershift/src/gateway/quarantine/report.rs
@@ -15,6 +15,7 @@
         message::{Accusation, Tally, Upstream},
         progress::Progress,
     },
+    id,
     wire::Body,
 };
 
@@ -32,17 +33,36 @@
 
 impl Gateway {
     /// Handles an answer that broke off. If the answer had just begun and its replica is gone, the
-    /// leader is told before this returns, so that it knows when the request is sent again.
-    pub async fn report_crash(
+    /// leader is told; it knows when the returned future ends. The report goes on if the future is
+    /// dropped because the caller leaves.
+    pub fn report_crash(
         self: &Arc<Self>,
         job: &Job,
         upstream: &Upstream,
         progress: Progress,
-    ) {
+    ) -> impl Future<Output = ()> + Send + use<> {
         let parts = shareable_parts(&job.head.prompt_parts);
-        if parts.is_empty() || progress.span().is_some_and(|span| span > BEGINNING) {
-            return;
+        let has_begun = progress.span().is_none_or(|span| span <= BEGINNING);
+        let report = (has_begun && !parts.is_empty()).then(|| {
+            let (gateway, upstream) = (self.clone(), upstream.clone());
+            let request = job.head.id.clone();
+            tokio::spawn(gateway.accuse_if_gone(request, parts, upstream, progress))
+        });
+        async move {
+            if let Some(report) = report {
+                // It fails only while the process ends.
+                let _ = report.await;
+            }
         }
+    }
+
+    async fn accuse_if_gone(
+        self: Arc<Self>,
+        request: String,
+        parts: Vec<id::PromptPart>,
+        upstream: Upstream,
+        progress: Progress,
+    ) {
         let broken_at = Instant::now();
         if !is_gone(&upstream.address).await {
             return;
@@ -56,9 +76,9 @@
             silence
         };
         let accusation = Accusation {
-            request: job.head.id.clone(),
-            upstream: upstream.name.clone(),
-            service: upstream.service.clone(),
+            request,
+            upstream: upstream.name,
+            service: upstream.service,
             silent_ms: (silence + (now - broken_at)).as_millis() as u64,
             parts,
         };
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -281,21 +281,15 @@
             }
             Source::Resuming(_) | Source::Ended => None,
         };
-        if let Some((upstream, progress)) = &broken {
+        let report = broken.map(|(upstream, progress)| {
             let name = &upstream.name;
             self.gateway.view().record_failure(name, Instant::now());
-            self.gateway.log_broken(&self.job, name, progress, reason);
-        }
-        let (gateway, job) = (self.gateway.clone(), self.job.clone());
-        let report = async move {
-            if let Some((upstream, progress)) = broken {
-                gateway.report_crash(&job, &upstream, progress).await;
-            }
-        };
+            self.gateway.log_broken(&self.job, name, &progress, reason);
+            self.gateway.report_crash(&self.job, &upstream, progress)
+        });
         let allowed = self.job.route.resumable
             && forward::try_spend_retry(&self.gateway, &self.job, &self.trace);
         if !allowed {
-            tokio::spawn(report);
             return Some(Some(Err(self.fail("broken"))));
         }
         let gateway = self.gateway.clone();
@@ -304,7 +298,9 @@
         let mut trace = std::mem::take(&mut self.trace);
         self.is_sound = false;
         self.source = Source::Resuming(Box::pin(async move {
-            report.await;
+            if let Some(report) = report {
+                report.await;
+            }
             let response =
                 forward::send_with_retries(&gateway, &job, &mut trace, resume_after).await;
             let response = response
