quarantine: check a replica that falls silent when it has just begun

Cause: a replica that loses power as it begins an answer closes no connection; keep-alive probes notice after 3 s, and callers leave before, so that nothing was ever reported. Change: a stream whose answer has just begun and is silent for 700 ms has its replica checked. The stream itself goes on: it is only a question whether anything accepts connections there.

--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::{
     Gateway,
@@ -24,6 +24,10 @@
 };
 use crate::verdict::Verdict;
 
+/// Time without an event after which a replica that has just begun an answer is checked. A replica
+/// that has lost power closes no connection, and callers leave before it is noticed otherwise.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum Body {
@@ -113,6 +117,8 @@
     outcome: &'static str,
     /// Counts the caller's request as open until the stream is dropped.
     guard: Option<Box<dyn Send>>,
+    /// When the replica is checked, while its answer has just begun.
+    silence: Option<Pin<Box<Sleep>>>,
     /// Whether the answer has shown that its prompt does not crash replicas.
     is_sound: bool,
 }
@@ -126,6 +132,10 @@
     }
 }
 
+fn silence_limit() -> Pin<Box<Sleep>> {
+    Box::pin(sleep(SILENCE_LIMIT))
+}
+
 impl Stream {
     /// Starts to relay a response whose head has arrived.
     pub fn new(
@@ -144,6 +154,7 @@
             timing: StreamTiming::default(),
             outcome: "caller_left",
             guard: None,
+            silence: Some(silence_limit()),
             is_sound: false,
         }
     }
@@ -158,6 +169,7 @@
         if self.deadline.as_mut().poll(context).is_ready() {
             return Poll::Ready(Some(Err(self.fail("deadline"))));
         }
+        self.check_silence(context);
         loop {
             match &mut self.source {
                 Source::Ended => return Poll::Ready(None),
@@ -165,7 +177,10 @@
                     let (trace, response) = ready!(resume.as_mut().poll(context));
                     self.trace = trace;
                     match response {
-                        Some(response) => self.source = Source::Response(Box::new(response)),
+                        Some(response) => {
+                            self.silence = Some(silence_limit());
+                            self.source = Source::Response(Box::new(response));
+                        }
                         None => return Poll::Ready(Some(Err(self.fail("broken")))),
                     }
                 }
@@ -211,6 +226,10 @@
             response.progress.record_event(now);
         }
         self.report_if_survived();
+        match &mut self.silence {
+            Some(silence) if !self.is_sound => silence.as_mut().reset(now + SILENCE_LIMIT),
+            _ => self.silence = None,
+        }
         if let Some(last_event_at) = self.timing.last_event_at.replace(now) {
             let gap = now.duration_since(last_event_at);
             self.timing.longest_gap = self.timing.longest_gap.max(gap);
@@ -221,6 +240,23 @@
         self.gateway.metrics.first_event.observe(time.as_secs_f64());
     }
 
+    /// Checks a replica that has been silent since it began the answer.
+    fn check_silence(&mut self, context: &mut Context<'_>) {
+        let Source::Response(response) = &self.source else {
+            return;
+        };
+        let is_over = |silence: &mut Pin<Box<Sleep>>| silence.as_mut().poll(context).is_ready();
+        if self.silence.as_mut().is_some_and(is_over) {
+            self.silence = None;
+            let upstream = response.guard.upstream();
+            // The report goes on by itself.
+            drop(
+                self.gateway
+                    .report_crash(&self.job, upstream, response.progress),
+            );
+        }
+    }
+
     /// Reports the prompt as sound once the answer has gone on for long enough.
     fn report_if_survived(&mut self) {
         if let Source::Response(response) = &self.source
