hub: check replicas that gateways cannot reach, and send nothing to those gone

Change: gateways name upstreams that accept no connection. The leader tries by itself; a replica that is gone for it too gets no requests and no loads, and what only it had is loaded elsewhere. The check is believed for 1.5 s and repeated every second, so that a replica that was out of reach comes back. Measured: adapters_of_gone_replicas_are_loaded_elsewhere_at_once (decisions).

--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -223,6 +223,7 @@
                     sound: self.gateway.quarantine().take_sound(Instant::now()),
                     limits: view.limits.take_reports(Instant::now()),
                     limited_demand: view.take_limited_demand(),
+                    unreachable: view.take_unreachable(),
                 }
             };
             self.gateway.leader.tell(Body::Tally(tally)).await;
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -97,6 +97,16 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Time limit to connect to a replica that may be gone. One that is alive accepts within a few
+/// milliseconds.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Whether nothing accepts connections at an address.
+pub async fn is_gone(address: &str) -> bool {
+    let connect = TcpStream::connect(address);
+    !matches!(timeout(CHECK_TIMEOUT, connect).await, Ok(Ok(_)))
+}
+
 /// An open connection; it carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -213,7 +213,10 @@
 fn record_error(gateway: &Gateway, upstream: &str, error: &Error, now: Instant) {
     let mut view = gateway.view();
     match error {
-        Error::Connect { .. } => view.record_unreachable(upstream, now),
+        Error::Connect { .. } => {
+            view.record_unreachable(upstream, now);
+            gateway.tally_wanted.notify_one();
+        }
         Error::Unsent | Error::Broken { .. } => view.record_failure(upstream, now),
         Error::Withheld | Error::Quarantined => {}
     }
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -5,6 +5,7 @@
 //! * `queue`: queues gateways' requests for a replica and answers them.
 //! * `limits`: spreads upstreams' limits, and hands out permits.
 //! * `notices`: messages to and from gateways.
+//! * `reachability`: finds replicas that are gone.
 //! * `quarantine`: spreads and replicates the marks of prompt parts.
 
 mod configuration_history;
@@ -12,6 +13,7 @@
 mod notices;
 mod quarantine;
 mod queue;
+mod reachability;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -26,6 +28,7 @@
 };
 
 use configuration_history::ConfigurationHistory;
+use reachability::Checks;
 
 use super::{
     Gateway,
@@ -80,6 +83,8 @@
     List(Vec<Upstream>),
     /// An order, identified by term, replica and number, was answered or got no answer in time.
     Ordered(id::Term, id::Upstream, u64, OrderOutcome),
+    /// Whether a replica is gone, as a check found.
+    Checked(id::Term, id::Upstream, bool),
     /// A replica sent its report; `None` if there was no valid answer.
     Reported(id::Term, id::Upstream, Option<Report>),
 }
@@ -154,6 +159,8 @@
     departures: Admission,
     /// Pauses that replicas have asked gateways for.
     pauses: Pauses,
+    /// Checks of replicas that gateways could not reach.
+    checks: Checks,
     /// Request rates that upstreams have named.
     limits: Limits,
     /// Evidence against prompt parts that crash replicas.
@@ -248,6 +255,9 @@
             return idle;
         };
         let mut wake = state.next_notice;
+        if let Some(due) = state.checks.next_due() {
+            wake = wake.min(due);
+        }
         if !state.limits.is_empty() {
             wake = wake.min(Instant::now() + limits::PERMIT_INTERVAL);
         }
@@ -357,6 +367,7 @@
             gateways: BTreeMap::new(),
             departures: Admission::default(),
             pauses: Pauses::default(),
+            checks: Checks::default(),
             limits: Limits::default(),
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
@@ -398,7 +409,10 @@
                     .placement
                     .handle_report(&replica, report.as_ref(), now);
             }
-            Input::Ordered(..) | Input::Reported(..) => {}
+            Input::Checked(term, replica, gone) if term == state.term => {
+                state.apply_check(&replica, gone, now);
+            }
+            Input::Ordered(..) | Input::Reported(..) | Input::Checked(..) => {}
         }
     }
 
@@ -415,6 +429,7 @@
         state.sweep(now);
         state.spread_marks(&self.gateway, now);
         state.spread_limits(now);
+        state.start_checks(&self.gateway, &self.inputs, now);
         state.decide(now);
         let may_order = state.may_order(&self.voter_status, now);
         for action in state.placement.tick(may_order, now) {
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -104,6 +104,10 @@
         self.record_pauses(&tally, own_host, now);
         self.record_evidence(&tally, now);
         self.record_limits(&tally, now);
+        let crashed = tally.accusations.iter().map(|one| &one.upstream);
+        for replica in tally.unreachable.iter().chain(crashed) {
+            self.checks.request(replica, now);
+        }
         for demand in &tally.demand {
             if demand.waiting > 0 {
                 let hosts = self
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -133,7 +133,7 @@
                     let serves_group =
                         |one: &&placement::Replica| one.upstream.service == group.service;
                     let Some(adapter) = &group.adapter else {
-                        let holders = placement.holders(&group.model).filter(serves_group);
+                        let holders = placement.holders(&group.model, now).filter(serves_group);
                         return holders.map(|one| candidate(one, None)).collect();
                     };
                     let usable = placement.usable(adapter, now).into_iter();
--- /dev/null
+++ b/crates/tanagershift/src/gateway/hub/reachability.rs
@@ -0,0 +1,95 @@
+//! Finds replicas that are gone before the platform's list shows it.
+//!
+//! Gateways name replicas that accept no connections. The leader tries by itself, so that a link that
+//! only one gateway lacks excludes nothing, and tries again until the replica is listed no more.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::{sync::mpsc, time::Instant};
+
+use super::{Input, LeaderState};
+use crate::{
+    gateway::{Gateway, connection::is_gone},
+    id,
+};
+
+/// Time after a check that found a replica gone until the next one.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time for which such a check is believed.
+const GONE_TTL: Duration = Duration::from_millis(1500);
+
+/// Checks of replicas that gateways could not reach.
+#[derive(Debug, Default)]
+pub(super) struct Checks {
+    /// When each replica is checked next.
+    due: BTreeMap<id::Upstream, Instant>,
+    running: BTreeSet<id::Upstream>,
+}
+
+impl Checks {
+    /// Asks for a check of a replica, unless one is due.
+    pub(super) fn request(&mut self, replica: &str, now: Instant) {
+        self.due.entry(replica.to_owned()).or_insert(now);
+    }
+
+    /// When the next check is due; `None` if there is none.
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        let waiting = self
+            .due
+            .iter()
+            .filter(|(name, _)| !self.running.contains(*name));
+        waiting.map(|(_, due)| *due).min()
+    }
+}
+
+impl LeaderState {
+    /// Starts the checks that are due.
+    pub(super) fn start_checks(
+        &mut self,
+        gateway: &Arc<Gateway>,
+        inputs: &mpsc::Sender<Input>,
+        now: Instant,
+    ) {
+        let due = self.checks.due.iter().filter(|(_, due)| now >= **due);
+        let due: Vec<id::Upstream> = due.map(|(name, _)| name.clone()).collect();
+        for name in due {
+            let Some(replica) = self.placement.replicas().get(&name) else {
+                self.checks.due.remove(&name);
+                continue;
+            };
+            if !self.checks.running.insert(name.clone()) {
+                continue;
+            }
+            let (term, address) = (self.term, replica.upstream.address.clone());
+            let (inputs, metrics) = (inputs.clone(), gateway.metrics.clone());
+            tokio::spawn(async move {
+                let gone = is_gone(&address).await;
+                metrics.replica_checks.inc();
+                // Fails only while the process ends, since the hub runs until then.
+                let _ = inputs.send(Input::Checked(term, name, gone)).await;
+            });
+        }
+    }
+
+    /// Applies the outcome of a check.
+    pub(super) fn apply_check(&mut self, replica: &str, gone: bool, now: Instant) {
+        self.checks.running.remove(replica);
+        log::info!("event=hub.checked replica={replica} gone={gone}");
+        match gone {
+            true => {
+                self.checks
+                    .due
+                    .insert(replica.to_owned(), now + CHECK_INTERVAL);
+                self.placement.set_gone(replica, Some(now + GONE_TTL));
+            }
+            false => {
+                self.checks.due.remove(replica);
+                self.placement.set_gone(replica, None);
+            }
+        }
+    }
+}
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -211,6 +211,9 @@
     /// Requests for services that have an upstream with a limit, since the previous tally.
     #[prost(message, repeated, tag = "12")]
     pub limited_demand: Vec<ServiceDemand>,
+    /// Upstreams that accepted no connection since the previous tally.
+    #[prost(string, repeated, tag = "13")]
+    pub unreachable: Vec<String>,
 }
 
 /// How many requests an upstream takes from all hosts together.
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
     /// Requests that were not sent to a selected upstream because it leaves or has asked for a
     /// pause.
     pub withheld: Counter,
+    /// Checks of replicas that gateways could not reach.
+    pub replica_checks: Counter,
     /// Limits that upstreams named, changed or ended.
     pub limits: Counter,
     /// Replicas that crashed on a request of this gateway.
@@ -76,6 +78,7 @@
             departures: Counter::default(),
             pauses: Counter::default(),
             withheld: Counter::default(),
+            replica_checks: Counter::default(),
             limits: Counter::default(),
             crash_reports: Counter::default(),
             quarantined_requests: Counter::default(),
@@ -116,6 +119,8 @@
         registry.register("pauses", help, self.pauses.clone());
         let help = "Requests not sent to an upstream that leaves or has asked for a pause";
         registry.register("withheld", help, self.withheld.clone());
+        let help = "Checks of replicas that gateways could not reach";
+        registry.register("replica_checks", help, self.replica_checks.clone());
         let help = "Limits that upstreams named, changed or ended";
         registry.register("limits", help, self.limits.clone());
         let help = "Replicas that crashed on a request of this gateway";
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -303,6 +303,14 @@
         }
     }
 
+    /// Sets until when a replica is taken for gone. It gets no requests until then, and adapters that
+    /// only it has are loaded elsewhere.
+    pub fn set_gone(&mut self, replica: &str, until: Option<Instant>) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.gone_until = until;
+        }
+    }
+
     /// Sets the pauses that replicas have asked this leader's own host for, each with its end. A
     /// replica gets no orders before, and loads that were planned there are planned elsewhere.
     pub fn set_order_pauses(&mut self, pauses: &BTreeMap<id::Upstream, Instant>, now: Instant) {
@@ -391,7 +399,8 @@
     pub fn usable(&self, adapter: &str, now: Instant) -> Vec<(&Replica, u64)> {
         let ready = |replica: &Replica| {
             let slot = replica.slots.get(adapter)?;
-            let usable = slot.state == State::Ready && !replica.upstream.draining;
+            let usable =
+                slot.state == State::Ready && !replica.upstream.draining && !replica.is_gone(now);
             usable.then_some(slot.version)
         };
         let holders = self.index.get(adapter).map_or(&[][..], Vec::as_slice);
@@ -408,9 +417,14 @@
     }
 
     /// Replicas that have a base model loaded and are not draining.
-    pub fn holders<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Replica> {
+    pub fn holders<'a>(
+        &'a self,
+        model: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Replica> {
         let replicas = self.replicas.values();
-        replicas.filter(move |one| !one.upstream.draining && one.holds(model))
+        let lives = move |one: &&Replica| !one.upstream.draining && !one.is_gone(now);
+        replicas.filter(lives).filter(move |one| one.holds(model))
     }
 
     /// Counts the adapter slots of all replicas by state.
@@ -471,7 +485,7 @@
             self.load_requests
                 .retain(|_, request| now < request.last_requested + LOAD_REQUEST_TTL);
             self.plan_models(now);
-            let mut replica_counts = self.replica_counts();
+            let mut replica_counts = self.replica_counts(now);
             self.plan_load_requests(&mut replica_counts, now);
             self.plan_scale_out(&replica_counts, now);
             self.retire_outdated(now);
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -21,10 +21,14 @@
 
 impl Placement {
     /// For each adapter, the number of replicas on which its newest version is loaded, loading or
-    /// planned. Draining replicas and adapters that are being evicted don't count.
-    pub(super) fn replica_counts(&self) -> HashMap<Adapter, usize> {
+    /// planned. Draining and gone replicas and adapters that are being evicted don't count.
+    pub(super) fn replica_counts(&self, now: Instant) -> HashMap<Adapter, usize> {
         let mut replica_counts = HashMap::new();
-        for replica in self.replicas.values().filter(|one| !one.upstream.draining) {
+        for replica in self
+            .replicas
+            .values()
+            .filter(|one| !one.upstream.draining && !one.is_gone(now))
+        {
             for (adapter, slot) in &replica.slots {
                 let staying = match slot.state {
                     State::Planned | State::Loading { .. } | State::Ready => true,
@@ -230,6 +234,7 @@
             replica.free_slots() > 0
                 && replica.is_usable()
                 && !replica.is_paused(now)
+                && !replica.is_gone(now)
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
         };
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -100,6 +100,8 @@
     /// End of the pause that the replica has asked this leader's host for; it gets no orders and no
     /// requests for reports before.
     pub orders_from: Option<Instant>,
+    /// Until when the replica is taken for gone, after it accepted no connection.
+    pub gone_until: Option<Instant>,
     /// Whether a report has been requested and has not arrived.
     pub report_pending: bool,
     /// Adapters and base models that are planned, loaded or being loaded or unloaded.
@@ -135,6 +137,7 @@
             accepted_orders: None,
             report_at: now,
             orders_from: None,
+            gone_until: None,
             report_pending: false,
             slots,
             pending: None,
@@ -160,6 +163,11 @@
         self.slots.iter().filter(|(name, _)| !is_model(name))
     }
 
+    /// Whether the replica accepts no connections.
+    pub fn is_gone(&self, now: Instant) -> bool {
+        self.gone_until.is_some_and(|until| now < until)
+    }
+
     /// Whether orders can be sent: the replica has reported and is not draining.
     pub fn is_usable(&self) -> bool {
         !self.upstream.draining && self.accepted_orders.is_some()
--- a/crates/tanagershift/src/gateway/placement/tests.rs
+++ b/crates/tanagershift/src/gateway/placement/tests.rs
@@ -536,3 +536,44 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Crash of a share of the replicas: the platform's list shows them for seconds, but a check has found
+/// that they accept no connections.
+#[test]
+fn adapters_of_gone_replicas_are_loaded_elsewhere_at_once() {
+    let mut simulation = Simulation::new(4, 8);
+    let adapters: Vec<String> = (0..12).map(|number| format!("base/a{number}")).collect();
+    let request = |simulation: &mut Simulation| {
+        for adapter in &adapters {
+            let now = simulation.now;
+            simulation.placement.request_load(adapter, 1, now);
+        }
+    };
+    for _ in 0..200 {
+        request(&mut simulation);
+        simulation.step();
+        simulation.now += STEP;
+    }
+    let gone = simulation.placement.usable(&adapters[0], simulation.now)[0].0;
+    let gone = gone.upstream.name.clone();
+    let crashed_at = simulation.now;
+    let until = crashed_at + Duration::from_secs(10);
+    simulation.placement.set_gone(&gone, Some(until));
+    for _ in 0..100 {
+        request(&mut simulation);
+        simulation.step();
+        simulation.now += STEP;
+    }
+    for adapter in &adapters {
+        let usable = simulation.placement.usable(adapter, simulation.now);
+        assert!(!usable.is_empty(), "{adapter} after one second");
+        assert!(
+            usable
+                .iter()
+                .all(|(replica, _)| replica.upstream.name != gone)
+        );
+    }
+    simulation.placement.set_gone(&gone, None);
+    let holders = simulation.placement.holders("base", simulation.now);
+    assert_eq!(holders.count(), 4, "it was only out of reach");
+}
--- a/crates/tanagershift/src/gateway/quarantine/report.rs
+++ b/crates/tanagershift/src/gateway/quarantine/report.rs
@@ -2,15 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout},
-};
+use tokio::time::Instant;
 
 use super::{BEGINNING, shareable_parts};
 use crate::{
     gateway::{
         Gateway,
+        connection::is_gone,
         exchange::Job,
         message::{Accusation, Tally, Upstream},
         progress::Progress,
@@ -19,18 +17,9 @@
     wire::Body,
 };
 
-/// Time limit to connect to a replica whose answer broke off. One that is alive accepts within a few
-/// milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without a byte after which a connection that fails was silent rather than reset.
 const SILENCE: Duration = Duration::from_millis(1500);
 
-/// Whether nothing accepts connections at an address.
-async fn is_gone(address: &str) -> bool {
-    let connect = TcpStream::connect(address);
-    !matches!(timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)))
-}
-
 impl Gateway {
     /// Handles an answer that broke off. If the answer had just begun and its replica is gone, the
     /// leader is told; it knows when the returned future ends. The report goes on if the future is
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -100,6 +100,8 @@
     pub limits: Permits,
     /// Requests for services that have an upstream with a limit, since the previous tally.
     limited_demand: BTreeMap<String, u32>,
+    /// Upstreams that accepted no connection since the previous tally.
+    unreachable: BTreeSet<id::Upstream>,
     list_number: u64,
     /// Upstream names in the order of the list.
     list_order: Vec<id::Upstream>,
@@ -377,6 +379,11 @@
             .collect()
     }
 
+    /// Takes the upstreams that accepted no connection since the previous tally.
+    pub fn take_unreachable(&mut self) -> Vec<id::Upstream> {
+        std::mem::take(&mut self.unreachable).into_iter().collect()
+    }
+
     /// Counts a request that is being sent to an upstream.
     pub fn count_opened(&mut self, upstream: &str) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
@@ -420,6 +427,7 @@
 
     /// Records that an upstream cannot be reached, which makes requests avoid it at once.
     pub fn record_unreachable(&mut self, upstream: &str, now: Instant) {
+        self.unreachable.insert(upstream.to_owned());
         if let Some(known) = self.upstreams.get_mut(upstream) {
             known.stats.consecutive_failures = known
                 .stats
