quarantine: older proposals and later crashes change nothing

Cause: read in the diff. A part that the leader had cleared, and suspected again before the removal was replicated, was taken for lifted by an operator. Two proposals of marks could be applied in the wrong order. A replica that crashed at any time after a trial counted against the trial's part. Change: the leader keeps which parts its last proposal removes, and has one proposal under way. A crash counts against a trial only while it runs, or right after its end. Measured: a_crash_after_a_trial_does_not_count_against_it fails without the change (the part is convicted); the rest was found by reading, no run shows it.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -169,6 +169,10 @@
     replicated_marks: Arc<BTreeMap<id::PromptPart, Mark>>,
     /// Whether the marks of the ledger may differ from the replicated ones.
     marks_differ: bool,
+    /// Parts whose marks the last proposal removes.
+    removed_marks: BTreeSet<id::PromptPart>,
+    /// The last proposal of marks.
+    marks_proposal: Option<JoinHandle<()>>,
     /// Earliest time at which changed marks are proposed.
     next_marks_proposal: Instant,
     /// Gateways with requests that wait for an adapter.
@@ -372,6 +376,8 @@
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
             marks_differ: false,
+            removed_marks: BTreeSet::new(),
+            marks_proposal: None,
             next_marks_proposal: now,
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
--- a/crates/tanagershift/src/gateway/hub/quarantine.rs
+++ b/crates/tanagershift/src/gateway/hub/quarantine.rs
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Applies replicated marks: a mark that is gone, but that this leader still has, was lifted by an
-    /// operator.
+    /// Applies replicated marks: a mark that is gone, but that this leader has not removed itself, was
+    /// lifted by an operator.
     pub(super) fn apply_replicated_marks(&mut self, marks: &Arc<BTreeMap<id::PromptPart, Mark>>) {
         if self.replicated_marks == *marks {
             return;
@@ -40,7 +40,9 @@
         self.marks_differ = true;
         let before = std::mem::replace(&mut self.replicated_marks, marks.clone());
         for part in before.keys().filter(|part| !marks.contains_key(part)) {
-            self.ledger.lift(*part);
+            if !self.removed_marks.remove(part) {
+                self.ledger.lift(*part);
+            }
         }
     }
 
@@ -54,7 +56,10 @@
                 ..Notice::default()
             });
         }
-        if !self.marks_differ || now < self.next_marks_proposal {
+        // One proposal at a time, so that an older one is not applied after a newer one.
+        let proposal = self.marks_proposal.as_ref();
+        let is_pending = proposal.is_some_and(|proposal| !proposal.is_finished());
+        if !self.marks_differ || now < self.next_marks_proposal || is_pending {
             return;
         }
         self.next_marks_proposal = now + PROPOSAL_INTERVAL;
@@ -63,14 +68,16 @@
             self.marks_differ = false;
             return;
         }
+        let removed = marks.iter().filter(|mark| mark.crashes == 0);
+        self.removed_marks = removed.map(|mark| mark.part).collect();
         let command = Command::of(Order::Quarantine(Quarantine { marks }));
         let leader = gateway.leader.clone();
-        tokio::spawn(async move {
+        self.marks_proposal = Some(tokio::spawn(async move {
             let proposal = Body::Propose(command);
             // Marks that are still not replicated are proposed again.
             let _ = leader
                 .ask(proposal, PROPOSAL_TIMEOUT, PROPOSAL_TIMEOUT)
                 .await;
-        });
+        }));
     }
 }
--- a/crates/tanagershift/src/gateway/quarantine/ledger.rs
+++ b/crates/tanagershift/src/gateway/quarantine/ledger.rs
@@ -88,6 +88,14 @@
 }
 
 impl Trial {
+    /// Whether the request ran on a replica until about the time at which that crashed.
+    fn ran_until(&self, replica: &str, crashed_at: Instant) -> bool {
+        let ended_before = self
+            .ended_at
+            .is_some_and(|ended_at| ended_at + SETTLING_TIME < crashed_at);
+        self.replica == replica && !ended_before
+    }
+
     /// Time until which no other trial may begin; `None` while this one runs.
     fn settled_at(&self) -> Option<Instant> {
         let doublings = self.unresolved.min(MAX_SETTLING_DOUBLINGS);
@@ -146,7 +154,7 @@
         }
         let on_trial = self.suspects.iter().filter(|(_, suspect)| {
             let trial = suspect.trial.as_ref();
-            trial.is_some_and(|trial| trial.replica == accusation.upstream)
+            trial.is_some_and(|trial| trial.ran_until(&accusation.upstream, crashed_at))
         });
         let on_trial: Vec<id::PromptPart> = on_trial.map(|(part, _)| *part).collect();
         for part in on_trial {
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -179,6 +179,22 @@
     assert_eq!(ledger.ruling(&[POISON], now), Ruling::Barred);
 }
 
+/// Guards against: a replica that crashes long after a trial is held against the trial's part.
+#[test]
+fn a_crash_after_a_trial_does_not_count_against_it() {
+    let began = Instant::now();
+    let mut ledger = Ledger::default();
+    ledger.accuse(&accusation("a", &[7]), began);
+    for (number, replica) in [(1, "b"), (2, "c")] {
+        let now = began + Duration::from_secs(10 * number);
+        ledger.begin_trial(&[7], number, replica);
+        ledger.end_trial(number, now);
+        ledger.accuse(&accusation(replica, &[9]), now + Duration::from_secs(5));
+    }
+    let now = began + Duration::from_secs(60);
+    assert_eq!(ledger.ruling(&[7], now), Ruling::Trial);
+}
+
 /// A million different parts: the memory stays bounded, and a part with two crashes is not displaced
 /// by those with one.
 #[test]
