gateway: split selection off forward, and jobs off the scheduler

Change: moves only: select.rs holds the selection of an upstream, job.rs what the scheduler is given and decides.

--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -15,14 +15,13 @@
 
 use super::{
     Gateway,
-    ask::{Answer, ask},
-    choose::{Choice, Requirements, choose},
     configuration::{Configuration, Limits, Route, RouteKind},
-    exchange::{FailedAttempt, Job, SelectedUpstream, UpstreamResponse, exchange},
-    quarantine::{Standing, shareable_parts},
+    exchange::{FailedAttempt, Job, UpstreamResponse, exchange},
+    quarantine::Standing,
     relay::{Body, Stream, StreamTiming},
+    select::select_upstream,
 };
-use crate::{admission::Access, entry::retry::may_repeat, verdict::Verdict};
+use crate::{entry::retry::may_repeat, verdict::Verdict};
 
 /// `Retry-After` of a rejection when no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -33,15 +32,13 @@
 const SUSPECTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Minimum time that a stream needs. With less time left, a stream request is not retried and a request
 /// stops waiting for its adapter.
-const MIN_SERVICE_TIME: Duration = Duration::from_millis(300);
+pub const MIN_SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Time without a notice from the leader after which the configuration may lack a newly added route.
 /// It is well under the time within which the platform wants an accepted configuration in force.
 const ROUTES_STALE_AFTER: Duration = Duration::from_millis(1000);
-/// Longest wait for a change in adapter placement before an upstream is selected again.
-const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
 /// Longest time for which a request waits for a host that has just started to learn the configuration
 /// and the upstreams.
-const STARTUP_WAIT: Duration = Duration::from_millis(900);
+pub const STARTUP_WAIT: Duration = Duration::from_millis(900);
 /// Time after the start of a host from which requests do not wait for its first configuration.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Longest time for a request body to arrive.
@@ -77,7 +74,7 @@
     }
 
     /// Rejects a request that does not run since a part of its prompt may crash replicas.
-    fn quarantined(standing: Standing) -> Self {
+    pub fn quarantined(standing: Standing) -> Self {
         let (reason, after) = match standing {
             Standing::Convicted => (
                 "a part of the prompt crashes replicas",
@@ -490,174 +487,3 @@
     }
     allowed
 }
-
-/// Selects an upstream.
-///
-/// The leader selects one for requests that name a model. Without a leader, and for other requests, the
-/// gateway selects one itself, and waits while no replica has the adapter or base model that the
-/// request needs.
-async fn select_upstream(
-    gateway: &Arc<Gateway>,
-    job: &Job,
-    trace: &mut Trace,
-) -> Result<SelectedUpstream, Rejection> {
-    let began = Instant::now();
-    let parts = shareable_parts(&job.head.prompt_parts);
-    reject_convicted(gateway, gateway.quarantine().standing(&parts))?;
-    if job.head.model.is_some() {
-        if let Some(selected) = ask_leader(gateway, job, trace).await? {
-            return Ok(selected);
-        }
-        if let Some(adapter) = &job.head.adapter {
-            gateway.view().count_request(adapter);
-        }
-    }
-    let standing = gateway.quarantine().standing_alone(&parts, began);
-    if standing != Standing::Clear {
-        gateway.metrics.quarantined_requests.inc();
-        return Err(Rejection::quarantined(standing));
-    }
-    gateway.view().count_limited_demand(&job.service);
-    let startup_until = job.received_at + STARTUP_WAIT.min((job.deadline - job.received_at) / 2);
-    let mut wait_guard: Option<AdapterWaitGuard> = None;
-    let mut changes = gateway.placement_changes.subscribe();
-    loop {
-        changes.mark_unchanged();
-        let now = Instant::now();
-        let requirements = Requirements {
-            service: &job.service,
-            model: job.head.model.as_deref(),
-            adapter: job.head.adapter.as_deref(),
-            tried: &trace.tried,
-            zone: &gateway.zone,
-        };
-        let choice = choose(&gateway.view(), &requirements, now);
-        match choice {
-            Choice::Send(upstream, version) => {
-                if wait_guard.is_some() {
-                    trace.replica_wait += now - began;
-                    gateway
-                        .metrics
-                        .replica_wait
-                        .observe((now - began).as_secs_f64());
-                }
-                return Ok(SelectedUpstream {
-                    upstream,
-                    version,
-                    grant: None,
-                    is_trial: false,
-                });
-            }
-            Choice::Limited(after) => {
-                let mut rejection = Rejection::retry_later("every upstream is at its limit");
-                rejection.retry_after = Some(after);
-                return Err(rejection);
-            }
-            Choice::Paused(until) => {
-                let mut rejection = Rejection::retry_later("every upstream has asked for a pause");
-                rejection.retry_after = Some(until - now);
-                return Err(rejection);
-            }
-            // The host has just started, and the list is on its way.
-            Choice::NoUpstream if now < startup_until && !has_list(gateway) => {}
-            Choice::NoUpstream => {
-                return Err(Rejection::retry_later("no upstream of the service is live"));
-            }
-            Choice::NoReplica if now + MIN_SERVICE_TIME >= job.deadline => {
-                return Err(Rejection::retry_later("the adapter was not loaded in time"));
-            }
-            Choice::NoReplica => {}
-        }
-        if wait_guard.is_none()
-            && let Some(adapter) = &job.head.adapter
-        {
-            wait_guard = Some(AdapterWaitGuard::new(gateway.clone(), adapter.clone()));
-        }
-        let recheck_at = job.deadline.min(now + MAX_PLACEMENT_WAIT);
-        // However the wait ends, an upstream is selected again.
-        let _ = timeout_at(recheck_at, changes.changed()).await;
-    }
-}
-
-/// Rejects a request with a prompt part that crashes replicas.
-fn reject_convicted(gateway: &Gateway, standing: Standing) -> Result<(), Rejection> {
-    if standing != Standing::Convicted {
-        return Ok(());
-    }
-    gateway.metrics.quarantined_requests.inc();
-    Err(Rejection::quarantined(standing))
-}
-
-fn has_list(gateway: &Gateway) -> bool {
-    gateway.view().has_list()
-}
-
-/// Asks the leader for a replica, again if the replica leaves or has asked this gateway for a pause,
-/// which the leader may not know yet. Returns `None` if the gateway must select one itself.
-async fn ask_leader(
-    gateway: &Arc<Gateway>,
-    job: &Job,
-    trace: &mut Trace,
-) -> Result<Option<SelectedUpstream>, Rejection> {
-    let began = Instant::now();
-    let mut excluded = trace.tried.clone();
-    loop {
-        let paused = gateway
-            .view()
-            .service_paused_until(&job.service, Instant::now());
-        if paused.is_some() {
-            return Ok(None);
-        }
-        match ask(gateway, job, &excluded).await {
-            Answer::Granted {
-                upstream,
-                version,
-                call,
-                is_trial,
-            } => {
-                let access = gateway
-                    .view()
-                    .admission
-                    .access(&upstream.name, Instant::now());
-                if access != Access::Open {
-                    gateway.log_withheld(&job.head.id, &upstream.name, access);
-                    excluded.push(upstream.name.clone());
-                    continue;
-                }
-                trace.replica_wait += began.elapsed();
-                gateway
-                    .metrics
-                    .replica_wait
-                    .observe(began.elapsed().as_secs_f64());
-                return Ok(Some(SelectedUpstream {
-                    upstream,
-                    version,
-                    grant: Some(call),
-                    is_trial,
-                }));
-            }
-            Answer::Refused(rejection) => return Err(rejection),
-            Answer::NoLeader => return Ok(None),
-        }
-    }
-}
-
-/// Counts a request as waiting for an adapter until dropped.
-struct AdapterWaitGuard {
-    gateway: Arc<Gateway>,
-    adapter: String,
-}
-
-impl AdapterWaitGuard {
-    fn new(gateway: Arc<Gateway>, adapter: String) -> Self {
-        gateway.view().count_waiting(&adapter, true);
-        gateway.tally_wanted.notify_one();
-        Self { gateway, adapter }
-    }
-}
-
-impl Drop for AdapterWaitGuard {
-    fn drop(&mut self) {
-        self.gateway.view().count_waiting(&self.adapter, false);
-    }
-}
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -1,8 +1,9 @@
 //! The gateway: routes callers' requests to the replicas of services, on a platform whose protocol is
 //! implemented by a [`dialect::Dialect`].
 //!
-//! A request passes through `server`, `forward` (parsing, route, retries), `choose` or `ask` (selection
-//! of an upstream), `exchange` (one attempt) and `relay` (response body). The other parts:
+//! A request passes through `server`, `forward` (parsing, route, retries), `select` with `ask` and
+//! `choose` (selection of an upstream), `exchange` (one attempt) and `relay` (response body). The
+//! other parts:
 //!
 //! * `configuration`: routes, services and limits in force.
 //! * `scheduler`: assigns waiting requests to replicas on the leader; `ask` is the gateway's side.
@@ -32,6 +33,7 @@
 pub mod exchange;
 pub mod forward;
 pub mod hub;
+pub mod job;
 pub mod limit;
 #[cfg(test)]
 mod limit_tests;
@@ -48,6 +50,7 @@
 pub mod scheduler;
 #[cfg(test)]
 mod scheduler_tests;
+pub mod select;
 pub mod server;
 pub mod settings;
 pub mod signal;
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -14,6 +14,7 @@
 
 use tokio::time::Instant;
 
+pub use super::job::{Candidate, Decision, Job, JobGroup, JobNumber, Pauses, PromptPart};
 use super::{
     limit::Limits,
     message::Streams,
@@ -22,9 +23,6 @@
 };
 use crate::id;
 
-/// Number that the leader gives to a request for a replica; unique within its term.
-pub type JobNumber = u64;
-
 /// Limits on what a replica is assigned.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -58,87 +56,6 @@
 /// Number of remembered prompt parts of a replica above which expired ones are removed.
 const PARTS_CLEANUP_THRESHOLD: usize = 4096;
 
-/// A part of a prompt. Its digest covers the earlier parts too, so equal digests mean equal
-/// prefixes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Digest of the model, the adapter and all parts up to and including this one.
-    pub digest: u64,
-    /// Tokens of this part alone.
-    pub tokens: u32,
-}
-
-/// A request that waits for a replica.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Job {
-    /// Number that the leader gave it.
-    pub number: JobNumber,
-    /// Service whose replicas can run it.
-    pub service: String,
-    /// Base model that it needs.
-    pub model: String,
-    /// Adapter that it needs, as MODEL/NAME; `None` for the base model alone.
-    pub adapter: Option<String>,
-    /// Availability zone of its gateway.
-    pub zone: id::Zone,
-    /// Host of its gateway.
-    pub host: id::Host,
-    /// Length of the prompt in tokens.
-    pub prompt_tokens: u32,
-    /// Upper limit of the output in tokens.
-    pub max_output_tokens: u32,
-    /// Parts of the prompt in order.
-    pub parts: Vec<PromptPart>,
-    /// Priority class; zero is the most urgent.
-    pub priority: u8,
-    /// When the leader received it.
-    pub received_at: Instant,
-    /// When it must be sent to a replica, so that the time left until the latency objective of its
-    /// route suffices to process the prompt and deliver the answer.
-    pub objective: Instant,
-    /// When it is refused if it still waits.
-    pub refuse_at: Instant,
-    /// Replicas that earlier attempts were sent to; they are not chosen again.
-    pub tried: Vec<id::Upstream>,
-    /// Ids of the prompt parts that other requests may share.
-    pub part_ids: Vec<id::PromptPart>,
-}
-
-/// What a job needs of a replica. All jobs of a group can run on the same replicas.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct JobGroup {
-    /// Service whose replicas can run the jobs.
-    pub service: String,
-    /// Base model that the jobs need.
-    pub model: String,
-    /// Adapter that the jobs need, as MODEL/NAME; `None` for the base model alone.
-    pub adapter: Option<String>,
-}
-
-/// Pauses that replicas have asked gateways for, by host of the gateway.
-#[derive(Debug, Default)]
-pub struct Pauses {
-    by_host: BTreeMap<id::Host, BTreeMap<id::Upstream, Instant>>,
-}
-
-impl Pauses {
-    /// Replaces the pauses of one host, each given with its end.
-    pub fn set(&mut self, host: &str, pauses: BTreeMap<id::Upstream, Instant>) {
-        if pauses.is_empty() {
-            self.by_host.remove(host);
-        } else {
-            self.by_host.insert(host.to_owned(), pauses);
-        }
-    }
-
-    /// Whether a replica has asked a host for a pause that has not ended.
-    pub fn contains(&self, host: &str, replica: &str, now: Instant) -> bool {
-        let pauses = self.by_host.get(host);
-        let until = pauses.and_then(|pauses| pauses.get(replica));
-        until.is_some_and(|until| now < *until)
-    }
-}
-
 /// Waiting jobs of one group.
 #[derive(Debug, Default)]
 struct Queue {
@@ -149,76 +66,6 @@
     busy_since: Option<Instant>,
 }
 
-impl Job {
-    /// Whether the job must not be assigned to a replica: it was there already, or the replica has
-    /// asked the job's gateway for a pause.
-    pub fn excludes(&self, replica: &str, pauses: &Pauses, now: Instant) -> bool {
-        let tried = self.tried.iter().any(|tried| tried == replica);
-        tried || pauses.contains(&self.host, replica, now)
-    }
-
-    fn group(&self) -> JobGroup {
-        JobGroup {
-            service: self.service.clone(),
-            model: self.model.clone(),
-            adapter: self.adapter.clone(),
-        }
-    }
-}
-
-/// A replica that has what a job needs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Candidate {
-    /// Name of the replica.
-    pub name: id::Upstream,
-    /// Availability zone of the replica.
-    pub zone: id::Zone,
-    /// Requests that it runs concurrently.
-    pub slots: u32,
-    /// Capacity of its KV cache in tokens; zero if unknown.
-    pub token_capacity: u32,
-    /// Open requests there that were not assigned by this scheduler.
-    pub unscheduled_requests: u32,
-    /// Loaded version of the job's adapter; `None` for the base model alone.
-    pub version: Option<u64>,
-}
-
-/// Result of scheduling one waiting job.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// The job is sent to a replica.
-    Send {
-        /// Number of the job.
-        number: JobNumber,
-        /// Replica that will run the job.
-        replica: id::Upstream,
-        /// Adapter that the job needs.
-        adapter: Option<String>,
-        /// Loaded version of the adapter on that replica.
-        version: Option<u64>,
-        /// Estimated milliseconds until the replica has processed the prompt, plus penalties for
-        /// another zone and for load.
-        cost_ms: u64,
-        /// Number of replicas that had what the job needs.
-        holders: usize,
-        /// Whether a part of the job's prompt is suspected to crash replicas.
-        is_trial: bool,
-    },
-    /// A part of the job's prompt crashes replicas.
-    Bar {
-        /// Number of the job.
-        number: JobNumber,
-    },
-    /// The job cannot be served in time.
-    Refuse {
-        /// Number of the job.
-        number: JobNumber,
-        /// Number of replicas that had what the job needs; all of them were busy or had been tried
-        /// before.
-        holders: usize,
-    },
-}
-
 /// What the scheduler has assigned to one replica.
 #[derive(Clone, Debug)]
 struct ReplicaLoad {
