quarantine: an error that a replica answers with clears nothing

The part was cleared again after every crash. Change: only successful answers show that a prompt is sound.

--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -331,7 +331,7 @@
             ));
         }
     };
-    if !upstream_response.ends_with_connection() {
+    if upstream_response.head.status.is_success() && !upstream_response.ends_with_connection() {
         let upstream = upstream_response.guard.upstream();
         gateway.report_sound(job, upstream, &upstream_response.progress);
     }
