quarantine: convict no part for the crashes of another one

Change: three crashes convict a part only if one of them was on a request whose other parts had sound answers within a minute; six do otherwise. A part with such an answer is only suspected. Requests with fewer suspected parts are tried first, so that a shared part is cleared by a request without the guilty one.

--- a/crates/tanagershift/src/gateway/quarantine/ledger.rs
+++ b/crates/tanagershift/src/gateway/quarantine/ledger.rs
@@ -22,6 +22,13 @@
 /// Crashes within this time of each other count as one: replicas that lose power together crash
 /// together, whatever they run.
 const COMMON_CAUSE_SPAN: Duration = Duration::from_millis(100);
+/// Multiple of the configured crashes that convicts a part although other parts of the same requests
+/// may be the cause.
+const AMBIGUOUS_FACTOR: u32 = 2;
+/// Time after a sound answer in which its parts are not convicted.
+const PROVEN_TTL: Duration = Duration::from_secs(60);
+/// Number of parts that are remembered as sound; the one that was sound longest ago is forgotten.
+const MAX_PROVEN: usize = 4096;
 /// Number of suspected parts above which those with the least evidence are dropped.
 const MAX_SUSPECTS: usize = 4096;
 /// Time without a further crash after which a suspicion is dropped.
@@ -68,6 +75,8 @@
     last_crash: Instant,
     /// Crashes before this time are counted already, by an earlier leader.
     counted_until: Option<Instant>,
+    /// Crashes on requests that had no other part which is not known to be sound.
+    sole_crashes: u32,
     /// Runs of replicas that crashed on it.
     replicas: BTreeSet<id::Upstream>,
     /// Services of these replicas that have not answered such a request soundly since.
@@ -108,6 +117,8 @@
 pub struct Ledger {
     config: Config,
     suspects: BTreeMap<id::PromptPart, Suspect>,
+    /// When a sound answer last had each part. They are suspected again, but not convicted.
+    proven: BTreeMap<id::PromptPart, Instant>,
     /// Parts whose mark has changed since the last [`Ledger::take_changes`].
     changed: BTreeSet<id::PromptPart>,
 }
@@ -120,6 +131,7 @@
             convicted: mark.convicted,
             last_crash: now,
             counted_until: Some(now),
+            sole_crashes: 0,
             replicas: BTreeSet::new(),
             services: mark.services.iter().cloned().collect(),
             companions: None,
@@ -129,6 +141,7 @@
         Self {
             config,
             suspects: suspects.collect(),
+            proven: BTreeMap::new(),
             changed: BTreeSet::new(),
         }
     }
@@ -148,9 +161,13 @@
             // The convicted part explains the crash.
             parts.retain(|part| self.is_convicted(*part));
         }
+        let unproven = parts
+            .iter()
+            .filter(|part| !self.is_proven(**part, crashed_at));
+        let is_sole = unproven.count() == 1;
         let parts = Arc::new(parts);
         for part in parts.iter() {
-            self.record_crash(*part, accusation, Some(&parts), crashed_at);
+            self.record_crash(*part, accusation, Some(&parts), is_sole, crashed_at);
         }
         let on_trial = self.suspects.iter().filter(|(_, suspect)| {
             let trial = suspect.trial.as_ref();
@@ -158,11 +175,16 @@
         });
         let on_trial: Vec<id::PromptPart> = on_trial.map(|(part, _)| *part).collect();
         for part in on_trial {
-            self.record_crash(part, accusation, None, crashed_at);
+            self.record_crash(part, accusation, None, false, crashed_at);
         }
         self.drop_excess();
     }
 
+    fn is_proven(&self, part: id::PromptPart, now: Instant) -> bool {
+        let proven_at = self.proven.get(&part);
+        proven_at.is_some_and(|at| now < *at + PROVEN_TTL)
+    }
+
     fn is_convicted(&self, part: id::PromptPart) -> bool {
         let suspect = self.suspects.get(&part);
         suspect.is_some_and(|suspect| suspect.convicted)
@@ -173,13 +195,16 @@
         part: id::PromptPart,
         accusation: &Accusation,
         companions: Option<&Arc<BTreeSet<id::PromptPart>>>,
+        is_sole: bool,
         crashed_at: Instant,
     ) {
+        let is_proven = self.is_proven(part, crashed_at);
         let suspect = self.suspects.entry(part).or_insert_with(|| Suspect {
             crashes: 0,
             convicted: false,
             last_crash: crashed_at,
             counted_until: None,
+            sole_crashes: 0,
             replicas: BTreeSet::new(),
             services: BTreeSet::new(),
             companions: companions.cloned(),
@@ -209,11 +234,16 @@
             return;
         }
         suspect.crashes += 1;
+        suspect.sole_crashes += u32::from(is_sole);
         suspect.last_crash = suspect.last_crash.max(crashed_at);
         self.changed.insert(part);
         let (crashes, replica) = (suspect.crashes, &accusation.upstream);
         let request = &accusation.request;
-        if suspect.convicted || crashes < self.config.conviction_crashes {
+        let needed = match suspect.sole_crashes {
+            0 => self.config.conviction_crashes * AMBIGUOUS_FACTOR,
+            _ => self.config.conviction_crashes,
+        };
+        if suspect.convicted || is_proven || crashes < needed {
             emit!(
                 PART_SUSPECTED,
                 "part={part:x} crashes={crashes} upstream={replica} request={request}"
@@ -277,6 +307,12 @@
         }
         suspect.services.remove(&sound.service);
         if suspect.services.is_empty() {
+            self.proven.insert(sound.part, now);
+            if self.proven.len() > MAX_PROVEN {
+                let oldest = self.proven.iter().min_by_key(|(_, at)| **at);
+                let oldest = oldest.map(|(part, _)| *part);
+                oldest.map(|part| self.proven.remove(&part));
+            }
             emit!(
                 PART_CLEARED,
                 "part={:x} crashes={} convicted={}",
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -128,6 +128,35 @@
         ],
         &[7], Ruling::Trial
     );
+    a_part_that_was_sound_before_is_not_convicted: (
+        &[
+            Crash(0, "a", &[SHARED]), Sound(100, SHARED, "llm", 0), Crash(3000, "b", &[SHARED]),
+            Crash(4000, "c", &[SHARED]), Crash(5000, "d", &[SHARED]),
+        ],
+        &[SHARED], Ruling::Trial
+    );
+    a_part_beside_a_sound_one_is_convicted: (
+        &[
+            Crash(0, "a", &[SHARED, POISON]), Sound(100, SHARED, "llm", 0),
+            Crash(3000, "b", &[SHARED, POISON]), Crash(4000, "c", &[SHARED, POISON]),
+        ],
+        &[POISON], Ruling::Barred
+    );
+    three_crashes_on_two_unknown_parts_convict_neither: (
+        &[
+            Crash(0, "a", &[8, POISON]), Crash(500, "b", &[8, POISON]),
+            Crash(900, "c", &[8, POISON]),
+        ],
+        &[8, POISON], Ruling::Trial
+    );
+    six_crashes_on_two_unknown_parts_convict_both: (
+        &[
+            Crash(0, "a", &[8, POISON]), Crash(500, "b", &[8, POISON]),
+            Crash(900, "c", &[8, POISON]), Crash(1300, "d", &[8, POISON]),
+            Crash(1700, "e", &[8, POISON]), Crash(2100, "f", &[8, POISON]),
+        ],
+        &[8, POISON], Ruling::Barred
+    );
     a_convicted_part_explains_later_crashes: (
         &[
             Crash(0, "a", &[POISON]), Crash(500, "b", &[POISON]), Crash(900, "c", &[POISON]),
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -283,6 +283,14 @@
             decisions.push(Decision::Refuse { number, holders: 0 });
         }
         ranked.sort_by_key(|(rank, _, _)| *rank);
+        // A request with fewer suspected parts shows more, so it is tried first.
+        let suspected = |number: &JobNumber| {
+            let job = self.waiting.get(number);
+            job.map_or(0, |job| ledger.suspected(&job.part_ids).count())
+        };
+        if !ledger.is_empty() {
+            ranked.sort_by_cached_key(|((_, _, _, number), _, _)| suspected(number));
+        }
         for ((_, _, _, number), found, late_and_busy) in ranked {
             let Some(job) = self.waiting.get(&number) else {
                 continue;
