gateway: log the digest of a request whose answer breaks off

Change: answer.broken names a digest of method, host, path, caller's credentials and body. On the users' pages no header names a caller, so there it covers the rest alone. Measured: builds; no logic depends on it yet.

--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
     progress::Progress,
     quarantine::{Standing, shareable_parts},
 };
-use crate::{admission::Origin, link::Call, verdict::Verdict};
+use crate::{admission::Origin, id, link::Call, verdict::Verdict};
 
 /// Connections to try at one upstream, since idle ones may turn out to be closed.
 const MAX_CONNECTION_ATTEMPTS: usize = 3;
@@ -42,6 +42,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Digest by which the request is known when it comes again.
+    pub digest: id::RequestDigest,
     /// When the head of the request arrived.
     pub received_at: Instant,
     /// When the complete response is due.
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -17,7 +17,7 @@
     Gateway,
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{FailedAttempt, Job, UpstreamResponse, exchange},
-    quarantine::Standing,
+    quarantine::{Standing, request_digest},
     relay::{Body, Stream, StreamTiming},
     select::select_upstream,
 };
@@ -164,6 +164,7 @@
         .map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let draw = rand::random_range(0..route.total_weight().max(1));
     let service = route.pick_service(draw).unwrap_or_default().to_owned();
+    let digest = request_digest(&head.method, &head.uri, &head.headers, &body);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let job = Job {
         head: caller_head,
@@ -173,6 +174,7 @@
         path: path.to_owned(),
         headers: head.headers,
         body,
+        digest,
         received_at,
         deadline: received_at + limit,
     };
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -285,8 +285,10 @@
         let parts = job.head.prompt_parts.iter();
         let parts: Vec<String> = parts.map(|(id, _)| format!("{id:x}")).collect();
         log::info!(
-            "event=answer.broken request={} upstream={upstream} parts={} {progress} reason={reason:?}",
+            "event=answer.broken request={} digest={:016x} upstream={upstream} parts={} {progress} \
+             reason={reason:?}",
             job.head.id,
+            job.digest,
             parts.join(","),
         );
     }
--- a/crates/tanagershift/src/gateway/quarantine/mod.rs
+++ b/crates/tanagershift/src/gateway/quarantine/mod.rs
@@ -9,8 +9,10 @@
 //!
 //! * `ledger`: the leader's evidence and its rulings.
 //! * `register`: a gateway's copy, and what it has seen itself.
+//! * `digest`: tells requests that come again from new ones.
 //! * `report`: finds out whether a replica has crashed, and reports it.
 
+mod digest;
 mod ledger;
 mod register;
 mod report;
@@ -21,6 +23,7 @@
 
 use crate::id;
 
+pub use digest::request_digest;
 pub use ledger::{Config, Ledger, Ruling};
 pub use register::{Register, Standing};
 
--- a/crates/tanagershift/src/id.rs
+++ b/crates/tanagershift/src/id.rs
@@ -18,5 +18,7 @@
 pub type Index = u64;
 /// Id of a part of a prompt; equal ids mean equal parts, also in different requests.
 pub type PromptPart = u64;
+/// Digest of a request's path, caller and body; equal digests mean that the request came again.
+pub type RequestDigest = u64;
 /// Number of a stream within one connection; never used twice within it.
 pub type Stream = u64;
