--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -93,6 +93,12 @@
     LIMIT_NAMED = 510, Info;
     /// An upstream names no limit any more.
     LIMIT_ENDED = 511, Info;
+    /// A request is suspected to crash replicas.
+    REQUEST_SUSPECTED = 512, Warn;
+    /// A request crashes replicas; it is rejected when it comes again.
+    REQUEST_CONVICTED = 513, Error;
+    /// A sound answer cleared a suspected request.
+    REQUEST_CLEARED = 514, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -13,8 +13,7 @@
     dialect::RequestHead,
     exchange::Job,
     forward::Rejection,
-    message::{Ask, Grant, Upstream},
-    quarantine::shareable_parts,
+    message::{Ask, Grant, Upstream, split_keys},
 };
 use crate::{link::Call, wire::Body};
 
@@ -42,9 +41,12 @@
         version: Option<u64>,
         /// Stays open until the request has ended.
         call: Call,
-        /// Whether the request may run although a part of its prompt is suspected.
+        /// Whether the request may run although it, or a part of its prompt, is suspected.
         is_trial: bool,
     },
+    /// The leader lets the request run, and the gateway selects the upstream. The call stays open
+    /// until the request has ended.
+    Allowed(Call),
     /// The leader refuses the request.
     Refused(Rejection),
     /// No leader can be asked; the gateway decides for itself.
@@ -75,6 +77,9 @@
 }
 
 fn answer_from_grant(gateway: &Gateway, grant: Grant, call: Call) -> Answer {
+    if grant.is_unassigned {
+        return Answer::Allowed(call);
+    }
     if grant.replica.is_empty() {
         let mut rejection = Rejection::retry_later(grant.reason);
         rejection.retry_after = Some(Duration::from_millis(grant.retry_after_ms));
@@ -105,6 +110,7 @@
     let overdue_ms = now.saturating_duration_since(objective).as_millis() as i64;
     let (prompt, output) = job.head.tokens.unwrap_or((0, 0));
     let (digests, tokens) = part_digests(&job.head);
+    let (part_ids, digest) = split_keys(&job.keys);
     Ask {
         request: job.head.id.clone(),
         service: job.service.clone(),
@@ -120,7 +126,8 @@
         give_up_ms: millis(give_up),
         tried: excluded.to_vec(),
         host: gateway.host.clone(),
-        part_ids: shareable_parts(&job.head.prompt_parts),
+        part_ids,
+        digest,
     }
 }
 
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -165,18 +165,19 @@
         if marks.is_empty() {
             return;
         }
-        let (suspected, convicted, unreported) = {
-            let mut quarantine = self.gateway.quarantine();
-            quarantine.apply(marks);
-            (
-                quarantine.count(Standing::Suspected),
-                quarantine.count(Standing::Convicted),
-                quarantine.has_unreported(),
-            )
-        };
-        self.gateway.metrics.suspected_parts.set(suspected as i64);
-        self.gateway.metrics.convicted_parts.set(convicted as i64);
-        if unreported {
+        let metrics = &self.gateway.metrics;
+        let gauges = [
+            (&metrics.suspected_parts, Standing::Suspected, false),
+            (&metrics.convicted_parts, Standing::Convicted, false),
+            (&metrics.suspected_requests, Standing::Suspected, true),
+            (&metrics.convicted_requests, Standing::Convicted, true),
+        ];
+        let mut quarantine = self.gateway.quarantine();
+        quarantine.apply(marks);
+        for (gauge, standing, is_request) in gauges {
+            gauge.set(quarantine.count(standing, is_request) as i64);
+        }
+        if quarantine.has_unreported() {
             self.gateway.tally_wanted.notify_one();
         }
     }
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -54,8 +54,8 @@
     /// The upstream leaves or has asked for a pause; nothing was sent.
     #[snafu(display("the upstream takes no requests now"))]
     Withheld,
-    /// A part of the prompt may crash replicas; nothing was sent.
-    #[snafu(display("a part of the prompt may crash replicas"))]
+    /// The request, or a part of its prompt, may crash replicas; nothing was sent.
+    #[snafu(display("{}", super::quarantine::SUSPECTED_REASON))]
     Quarantined,
     /// The connection was closed before the request was written.
     #[snafu(display("connection was closed before the request was sent"))]
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one upstream and checks the head of the response.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -18,10 +18,13 @@
     dialect::{AddedHeaders, RequestHead, ResponseHead},
     message::Upstream,
     progress::Progress,
-    quarantine::{Standing, shareable_parts},
+    quarantine::Standing,
 };
-use crate::{admission::Origin, id, link::Call, verdict::Verdict};
+use crate::{admission::Origin, id, link::Call, verdict::Verdict, voter::command::Key};
 
+/// Time without the head of a response after which its replica is checked. Callers leave somewhat
+/// later, and a replica that has lost power closes no connection.
+const HEAD_SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 /// Connections to try at one upstream, since idle ones may turn out to be closed.
 const MAX_CONNECTION_ATTEMPTS: usize = 3;
 
@@ -44,6 +47,8 @@
     pub body: Bytes,
     /// Digest by which the request is known when it comes again.
     pub digest: id::RequestDigest,
+    /// Everything about the request that may crash replicas.
+    pub keys: Vec<Key>,
     /// When the head of the request arrived.
     pub received_at: Instant,
     /// When the complete response is due.
@@ -100,7 +105,7 @@
     pub verdict: Verdict,
     /// Whether the upstream received the request, even if it refused it.
     pub arrived: bool,
-    /// Whether the upstream was not tried, since a part of the prompt may crash it.
+    /// Whether the upstream was not tried, since the request or a part of its prompt may crash it.
     pub withdrawn: bool,
     /// Why the attempt failed.
     pub reason: String,
@@ -111,8 +116,8 @@
 pub struct UpstreamRequestGuard {
     gateway: Arc<Gateway>,
     upstream: Arc<Upstream>,
-    /// Call to the leader that granted the replica. Closing it tells the leader that the request
-    /// has ended.
+    /// Call to the leader that let the request run. Closing it tells the leader that the request has
+    /// ended.
     _grant: Option<Call>,
 }
 
@@ -145,9 +150,11 @@
     pub upstream: Arc<Upstream>,
     /// Version of the adapter or base model that the request must run on; `None` if any will do.
     pub version: Option<u64>,
-    /// Call to the leader, if the leader selected the upstream.
+    /// Call to the leader, if it let the request run.
     pub grant: Option<Call>,
-    /// Whether the leader lets the request run although a part of its prompt is suspected.
+    /// Whether the leader selected the upstream.
+    pub is_assigned: bool,
+    /// Whether the leader lets the request run although it, or a part of its prompt, is suspected.
     pub is_trial: bool,
 }
 
@@ -162,20 +169,30 @@
     selected: SelectedUpstream,
     resume_after: Option<u64>,
 ) -> Result<UpstreamResponse, FailedAttempt> {
-    let (version, is_trial) = (selected.version, selected.is_trial);
-    let is_granted = selected.grant.is_some();
+    let version = selected.version;
+    let clearance = Clearance {
+        is_trial: selected.is_trial,
+        is_assigned: selected.is_assigned,
+    };
     let upstream = &selected.upstream.clone();
     let guard = UpstreamRequestGuard::new(gateway.clone(), selected);
     let mut progress = Progress::new(Instant::now());
-    let clearance = Clearance {
-        is_trial,
-        is_granted,
-    };
     let sent = send(gateway, job, upstream, version, resume_after, clearance);
-    let outcome = timeout_at(job.deadline, sent).await;
+    let mut sent = pin!(timeout_at(job.deadline, sent));
+    let checked_at = progress.last_heard_at() + HEAD_SILENCE_LIMIT;
+    let outcome = match timeout_at(checked_at, sent.as_mut()).await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            // The report goes on by itself.
+            drop(gateway.report_crash(job, upstream, progress));
+            sent.await
+        }
+    };
     let now = Instant::now();
     let (connection, response) = match outcome {
         Err(_) => {
+            // The report goes on by itself.
+            drop(gateway.report_crash(job, upstream, progress));
             let reason = "no answer in time".to_owned();
             return Err(FailedAttempt::after_sending(reason));
         }
@@ -227,10 +244,10 @@
 /// What the leader has decided about a request.
 #[derive(Clone, Copy, Debug)]
 struct Clearance {
-    /// It may run although a part of its prompt is suspected.
+    /// It may run although it, or a part of its prompt, is suspected.
     is_trial: bool,
     /// It was assigned to its upstream.
-    is_granted: bool,
+    is_assigned: bool,
 }
 
 async fn send(
@@ -241,7 +258,6 @@
     resume_after: Option<u64>,
     clearance: Clearance,
 ) -> Result<(Connection, Response<Incoming>), Error> {
-    let parts = shareable_parts(&job.head.prompt_parts);
     let mut last_error = Error::Unsent;
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut connection = gateway.pool.connect(&upstream.address).await?;
@@ -251,14 +267,14 @@
             gateway.log_withheld(&job.head.id, &upstream.name, access);
             return Err(Error::Withheld);
         }
-        let standing = gateway.quarantine().standing(&parts);
+        let standing = gateway.quarantine().standing(&job.keys);
         if standing == Standing::Convicted || standing == Standing::Suspected && !clearance.is_trial
         {
             return Err(Error::Quarantined);
         }
         // The leader has counted the requests that it assigned.
         let now = Instant::now();
-        if !clearance.is_granted && !gateway.view().limits.take(&upstream.name, now) {
+        if !clearance.is_assigned && !gateway.view().limits.take(&upstream.name, now) {
             return Err(Error::Withheld);
         }
         match connection.send(request).await {
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -17,7 +17,10 @@
     Gateway,
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{FailedAttempt, Job, UpstreamResponse, exchange},
-    quarantine::{Standing, request_digest},
+    quarantine::{
+        CONVICTED_REASON, CONVICTED_RETRY_AFTER, SUSPECTED_REASON, Standing, request_digest,
+        request_keys,
+    },
     relay::{Body, Stream, StreamTiming},
     select::select_upstream,
 };
@@ -25,10 +28,8 @@
 
 /// `Retry-After` of a rejection when no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// `Retry-After` of a rejection for a prompt part that crashes replicas. An operator may lift it.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
-/// `Retry-After` of a rejection for a prompt part that is suspected to crash replicas, without a
-/// leader that could let the request run alone.
+/// `Retry-After` of a rejection for a suspicion to crash replicas, without a leader that could let the
+/// request run alone.
 const SUSPECTED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Minimum time that a stream needs. With less time left, a stream request is not retried and a request
 /// stops waiting for its adapter.
@@ -73,17 +74,11 @@
         }
     }
 
-    /// Rejects a request that does not run since a part of its prompt may crash replicas.
+    /// Rejects a request that does not run since it, or a part of its prompt, may crash replicas.
     pub fn quarantined(standing: Standing) -> Self {
         let (reason, after) = match standing {
-            Standing::Convicted => (
-                "a part of the prompt crashes replicas",
-                QUARANTINE_RETRY_AFTER,
-            ),
-            Standing::Clear | Standing::Suspected => (
-                "a part of the prompt may crash replicas",
-                SUSPECTED_RETRY_AFTER,
-            ),
+            Standing::Convicted => (CONVICTED_REASON, CONVICTED_RETRY_AFTER),
+            Standing::Clear | Standing::Suspected => (SUSPECTED_REASON, SUSPECTED_RETRY_AFTER),
         };
         Self {
             retry_after: Some(after),
@@ -167,6 +162,7 @@
     let digest = request_digest(&head.method, &head.uri, &head.headers, &body);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let job = Job {
+        keys: request_keys(&caller_head, digest),
         head: caller_head,
         route,
         service,
@@ -328,6 +324,9 @@
             return Err(FailedAttempt::after_sending(reason));
         }
         Err(_) => {
+            let upstream = upstream_response.guard.upstream();
+            // The report goes on by itself.
+            drop(gateway.report_crash(job, upstream, upstream_response.progress));
             return Err(FailedAttempt::after_sending(
                 "the answer is late".to_owned(),
             ));
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -34,7 +34,7 @@
     Gateway,
     dialect::{Order, OrderOutcome, Report},
     limit::Limits,
-    message::{Ask, Counts, List, Mark, Notice, Residency, Tally, Upstream, Watch},
+    message::{Ask, Counts, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
     orders,
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
@@ -163,14 +163,14 @@
     checks: Checks,
     /// Request rates that upstreams have named.
     limits: Limits,
-    /// Evidence against prompt parts that crash replicas.
+    /// Evidence against prompt parts and requests that crash replicas.
     ledger: Ledger,
-    /// Marks of prompt parts as they are replicated.
-    replicated_marks: Arc<BTreeMap<id::PromptPart, Mark>>,
+    /// Marks as they are replicated.
+    replicated_marks: Arc<BTreeMap<Key, Mark>>,
     /// Whether the marks of the ledger may differ from the replicated ones.
     marks_differ: bool,
-    /// Parts whose marks the last proposal removes.
-    removed_marks: BTreeSet<id::PromptPart>,
+    /// Keys whose marks the last proposal removes.
+    removed_marks: BTreeSet<Key>,
     /// The last proposal of marks.
     marks_proposal: Option<JoinHandle<()>>,
     /// Earliest time at which changed marks are proposed.
--- a/crates/tanagershift/src/gateway/hub/quarantine.rs
+++ b/crates/tanagershift/src/gateway/hub/quarantine.rs
@@ -1,16 +1,17 @@
-//! Spreads the marks of prompt parts that crash replicas to all gateways, and replicates them.
+//! Rules on requests that may crash replicas, spreads the marks to all gateways and replicates them.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
-use super::LeaderState;
+use super::{LeaderState, ReplicaRequest};
 use crate::{
     gateway::{
         Gateway,
-        message::{Mark, Notice, Tally},
+        message::{Ask, Grant, Key, Mark, Notice, Tally},
+        quarantine::{self, Ruling},
     },
-    id,
+    link::Responder,
     voter::command::{Command, Order, Quarantine},
     wire::Body,
 };
@@ -21,7 +22,7 @@
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl LeaderState {
-    /// Records what a gateway has seen of prompt parts.
+    /// Records what a gateway has seen of prompt parts and requests.
     pub(super) fn record_evidence(&mut self, tally: &Tally, now: Instant) {
         for accusation in &tally.accusations {
             self.ledger.accuse(accusation, now);
@@ -33,15 +34,62 @@
 
     /// Applies replicated marks: a mark that is gone, but that this leader has not removed itself, was
     /// lifted by an operator.
-    pub(super) fn apply_replicated_marks(&mut self, marks: &Arc<BTreeMap<id::PromptPart, Mark>>) {
+    pub(super) fn apply_replicated_marks(&mut self, marks: &Arc<BTreeMap<Key, Mark>>) {
         if self.replicated_marks == *marks {
             return;
         }
         self.marks_differ = true;
         let before = std::mem::replace(&mut self.replicated_marks, marks.clone());
-        for part in before.keys().filter(|part| !marks.contains_key(part)) {
-            if !self.removed_marks.remove(part) {
-                self.ledger.lift(*part);
+        for key in before.keys().filter(|key| !marks.contains_key(key)) {
+            if !self.removed_marks.remove(key) {
+                self.ledger.lift(*key);
+            }
+        }
+    }
+
+    /// Rules on a suspected request that its gateway selects an upstream for.
+    pub(super) fn rule_on_unassigned(&mut self, ask: &Ask, responder: Responder, now: Instant) {
+        let keys = ask.keys();
+        let ruling = self.ledger.ruling(&keys, now);
+        log::info!(
+            "event=quarantine.rule request={} ruling={ruling:?}",
+            ask.request
+        );
+        let refusal = |reason: &str, after: Duration| Grant {
+            retry_after_ms: after.as_millis() as u64,
+            reason: reason.to_owned(),
+            ..Grant::default()
+        };
+        let leave = Grant {
+            is_trial: true,
+            is_unassigned: true,
+            ..Grant::default()
+        };
+        match ruling {
+            Ruling::Free => responder.finish_now(Body::Grant(leave)),
+            Ruling::Trial => {
+                let number = self.next_number;
+                self.next_number += 1;
+                if responder.send_now(Body::Grant(leave)).is_err() {
+                    return;
+                }
+                self.ledger.begin_trial(&keys, number, "");
+                let request = ReplicaRequest {
+                    id: ask.request.clone(),
+                    responder,
+                    received_at: now,
+                };
+                self.requests.insert(number, request);
+            }
+            Ruling::Wait => {
+                let after = self.ledger.wait(&keys, now);
+                let grant = refusal(quarantine::SUSPECTED_REASON, after);
+                responder.finish_now(Body::Grant(grant));
+            }
+            Ruling::Barred => {
+                let after = quarantine::CONVICTED_RETRY_AFTER;
+                let grant = refusal(quarantine::CONVICTED_REASON, after);
+                responder.finish_now(Body::Grant(grant));
             }
         }
     }
@@ -69,7 +117,7 @@
             return;
         }
         let removed = marks.iter().filter(|mark| mark.crashes == 0);
-        self.removed_marks = removed.map(|mark| mark.part).collect();
+        self.removed_marks = removed.map(Mark::key).collect();
         let command = Command::of(Order::Quarantine(Quarantine { marks }));
         let leader = gateway.leader.clone();
         self.marks_proposal = Some(tokio::spawn(async move {
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -8,7 +8,7 @@
 use crate::{
     gateway::{
         message::{Ask, Demand, Grant},
-        placement,
+        placement, quarantine,
         scheduler::{Candidate, Decision, Job, JobNumber, PromptPart},
     },
     link::Responder,
@@ -20,8 +20,6 @@
 /// Time for which jobs may wait at busy replicas before their adapter is loaded on one more
 /// replica.
 const SATURATION_LIMIT: Duration = Duration::from_millis(400);
-/// Delay before a request with a prompt part that crashes replicas should be retried.
-const BARRED_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Minimum delay before a refused request should be retried.
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
 
@@ -29,6 +27,9 @@
     /// Queues a request for a replica; refuses it if its adapter cannot be loaded before the caller
     /// gives up.
     pub(super) fn queue_request(&mut self, ask: Ask, responder: Responder, now: Instant) {
+        if ask.model.is_empty() {
+            return self.rule_on_unassigned(&ask, responder, now);
+        }
         let wanted = if ask.adapter.is_empty() {
             &ask.model
         } else {
@@ -178,8 +179,8 @@
                 if let Some(adapter) = &adapter {
                     self.placement.count_use(&replica, adapter, true);
                 }
-                if is_trial && let Some(parts) = self.scheduler.running_parts(number) {
-                    self.ledger.begin_trial(parts, number, &replica);
+                if is_trial && let Some(keys) = self.scheduler.running_keys(number) {
+                    self.ledger.begin_trial(keys, number, &replica);
                 }
                 let Some(request) = self.requests.get(&number) else {
                     return;
@@ -209,8 +210,8 @@
                 };
                 log::info!("event=schedule.bar request={}", request.id);
                 request.responder.finish_now(Body::Grant(Grant {
-                    retry_after_ms: BARRED_RETRY_AFTER.as_millis() as u64,
-                    reason: "a part of the prompt crashes replicas".to_owned(),
+                    retry_after_ms: quarantine::CONVICTED_RETRY_AFTER.as_millis() as u64,
+                    reason: quarantine::CONVICTED_REASON.to_owned(),
                     ..Grant::default()
                 }));
             }
@@ -241,6 +242,7 @@
         true => now + objective,
         false => now.checked_sub(objective).unwrap_or(now),
     };
+    let keys = ask.keys();
     let parts = ask.prefix_digests.iter().zip(&ask.part_tokens);
     let part = |(digest, tokens): (&u64, &u32)| PromptPart {
         digest: *digest,
@@ -261,6 +263,6 @@
         objective,
         refuse_at: now + Duration::from_millis(ask.give_up_ms),
         tried: ask.tried,
-        part_ids: ask.part_ids,
+        keys,
     }
 }
--- a/crates/tanagershift/src/gateway/job.rs
+++ b/crates/tanagershift/src/gateway/job.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::id;
+use crate::{id, voter::command::Key};
 
 /// Number that the leader gives to a request for a replica; unique within its term.
 pub type JobNumber = u64;
@@ -51,8 +51,8 @@
     pub refuse_at: Instant,
     /// Replicas that earlier attempts were sent to; they are not chosen again.
     pub tried: Vec<id::Upstream>,
-    /// Ids of the prompt parts that other requests may share.
-    pub part_ids: Vec<id::PromptPart>,
+    /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
+    pub keys: Vec<Key>,
 }
 
 /// What a job needs of a replica. All jobs of a group can run on the same replicas.
@@ -143,10 +143,10 @@
         cost_ms: u64,
         /// Number of replicas that had what the job needs.
         holders: usize,
-        /// Whether a part of the job's prompt is suspected to crash replicas.
+        /// Whether the job, or a part of its prompt, is suspected to crash replicas.
         is_trial: bool,
     },
-    /// A part of the job's prompt crashes replicas.
+    /// The job, or a part of its prompt, crashes replicas.
     Bar {
         /// Number of the job.
         number: JobNumber,
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 use super::patch::Patch;
-pub use crate::voter::command::{Announcement, Document, Mark};
+pub use crate::voter::command::{Announcement, Document, Key, Mark};
 
 /// Subscribes a gateway to the leader's state. The leader answers with a stream of [`Notice`]s.
 #[derive(Clone, PartialEq)]
@@ -69,7 +69,7 @@
     /// them that are listed.
     #[prost(string, repeated, tag = "12")]
     pub leaving: Vec<String>,
-    /// Prompt parts that are suspected or convicted of crashing replicas, or no longer; the first
+    /// Prompt parts and requests that are suspected or convicted of crashing replicas, or no longer; the first
     /// notice of a watch carries all that are.
     #[prost(message, repeated, tag = "13")]
     pub marks: Vec<Mark>,
@@ -202,9 +202,9 @@
     /// Replicas that crashed when they had just begun to answer a request of this gateway.
     #[prost(message, repeated, tag = "9")]
     pub accusations: Vec<Accusation>,
-    /// Marked prompt parts that a sound answer had.
+    /// Marked prompt parts and requests that had a sound answer.
     #[prost(message, repeated, tag = "10")]
-    pub sound: Vec<SoundPart>,
+    pub sound: Vec<SoundKey>,
     /// Limits that answers to this gateway have named, changed or ended.
     #[prost(message, repeated, tag = "11")]
     pub limits: Vec<LimitReport>,
@@ -271,21 +271,54 @@
     /// Parts of the prompt that other requests may share.
     #[prost(fixed64, repeated, tag = "5")]
     pub parts: Vec<u64>,
+    /// Digest of the request; absent if an older host reports it.
+    #[prost(fixed64, optional, tag = "6")]
+    pub digest: Option<u64>,
 }
 
-/// A prompt part that a sound answer had.
+impl Accusation {
+    /// Everything about the request that may have crashed the replica.
+    pub fn keys(&self) -> impl Iterator<Item = Key> {
+        keys(&self.parts, self.digest)
+    }
+}
+
+/// Keys of a request with these shareable parts.
+fn keys(parts: &[u64], digest: Option<u64>) -> impl Iterator<Item = Key> {
+    let parts = parts.iter().copied().map(Key::Part);
+    parts.chain(digest.map(Key::Request))
+}
+
+/// Splits keys into shareable parts and the digest.
+pub fn split_keys(keys: &[Key]) -> (Vec<u64>, Option<u64>) {
+    let (requests, parts): (Vec<Key>, Vec<Key>) = keys.iter().partition(|key| key.is_request());
+    let parts = parts.into_iter().map(Key::value).collect();
+    (parts, requests.first().map(|key| key.value()))
+}
+
+/// A prompt part or a request that had a sound answer.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
-pub struct SoundPart {
-    /// Id of the part.
+pub struct SoundKey {
+    /// Id of the part, or digest of the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub value: u64,
     /// Service whose replica answered.
     #[prost(string, tag = "2")]
     pub service: String,
     /// Milliseconds since the answer began.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Whether `value` is the digest of a request.
+    #[prost(bool, tag = "4")]
+    pub is_request: bool,
+}
+
+impl SoundKey {
+    /// What had the sound answer.
+    pub fn key(&self) -> Key {
+        Key::new(self.value, self.is_request)
+    }
 }
 
 /// A pause that an upstream has asked one gateway for.
@@ -331,7 +364,8 @@
     pub waiting: u32,
 }
 
-/// Asks the leader for a replica for one request. The gateway keeps the call open until the request
+/// Asks the leader for a replica for one request or, without a model, whether a request that is
+/// suspected to crash replicas may be sent to one. The gateway keeps the call open until the request
 /// has ended.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -342,7 +376,7 @@
     /// Service of the request's route.
     #[prost(string, tag = "2")]
     pub service: String,
-    /// Base model.
+    /// Base model; empty if the gateway selects the upstream itself.
     #[prost(string, tag = "3")]
     pub model: String,
     /// Adapter as MODEL/NAME; empty for the base model.
@@ -382,13 +416,23 @@
     /// Ids of the prompt parts that other requests may share.
     #[prost(fixed64, repeated, tag = "15")]
     pub part_ids: Vec<u64>,
+    /// Digest of the request; absent if an older host asks.
+    #[prost(fixed64, optional, tag = "16")]
+    pub digest: Option<u64>,
+}
+
+impl Ask {
+    /// Everything about the request that may crash replicas.
+    pub fn keys(&self) -> Vec<Key> {
+        keys(&self.part_ids, self.digest).collect()
+    }
 }
 
 /// Answer to an [`Ask`].
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct Grant {
-    /// Name of the replica; empty when the request is refused.
+    /// Name of the replica; empty when the request is refused or the gateway selects the upstream.
     #[prost(string, tag = "1")]
     pub replica: String,
     /// Version of the adapter to use there; zero for none.
@@ -400,7 +444,11 @@
     /// Reason for the refusal.
     #[prost(string, tag = "4")]
     pub reason: String,
-    /// Whether the request may be sent although a part of its prompt is suspected to crash replicas.
+    /// Whether the request may be sent although it, or a part of its prompt, is suspected to crash
+    /// replicas.
     #[prost(bool, tag = "5")]
     pub is_trial: bool,
+    /// Whether the gateway selects the upstream.
+    #[prost(bool, tag = "6")]
+    pub is_unassigned: bool,
 }
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -50,12 +50,16 @@
     pub limits: Counter,
     /// Replicas that crashed on a request of this gateway.
     pub crash_reports: Counter,
-    /// Requests rejected for a prompt part that crashes replicas.
+    /// Requests rejected since they, or a part of their prompts, crash replicas.
     pub quarantined_requests: Counter,
     /// Prompt parts that are suspected to crash replicas.
     pub suspected_parts: Gauge,
     /// Prompt parts that crash replicas.
     pub convicted_parts: Gauge,
+    /// Requests that are suspected to crash replicas.
+    pub suspected_requests: Gauge,
+    /// Requests that crash replicas.
+    pub convicted_requests: Gauge,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
     /// Requests of callers that are currently open.
@@ -84,6 +88,8 @@
             quarantined_requests: Counter::default(),
             suspected_parts: Gauge::default(),
             convicted_parts: Gauge::default(),
+            suspected_requests: Gauge::default(),
+            convicted_requests: Gauge::default(),
             list_reads: Counter::default(),
             open: Gauge::default(),
             version: Gauge::default(),
@@ -125,13 +131,19 @@
         registry.register("limits", help, self.limits.clone());
         let help = "Replicas that crashed on a request of this gateway";
         registry.register("crash_reports", help, self.crash_reports.clone());
-        let help = "Requests rejected for a prompt part that crashes replicas";
+        let help = "Requests rejected since they or a part of their prompts crash replicas";
         let quarantined = self.quarantined_requests.clone();
         registry.register("quarantined_requests", help, quarantined);
         let help = "Prompt parts suspected to crash replicas";
         registry.register("suspected_parts", help, self.suspected_parts.clone());
         let help = "Prompt parts that crash replicas";
         registry.register("convicted_parts", help, self.convicted_parts.clone());
+        let help = "Requests suspected to crash replicas";
+        let suspected = self.suspected_requests.clone();
+        registry.register("suspected_requests", help, suspected);
+        let help = "Requests that crash replicas";
+        let convicted = self.convicted_requests.clone();
+        registry.register("convicted_requests", help, convicted);
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
--- a/crates/tanagershift/src/gateway/quarantine/ledger.rs
+++ b/crates/tanagershift/src/gateway/quarantine/ledger.rs
@@ -1,4 +1,4 @@
-//! The leader's evidence against prompt parts.
+//! The leader's evidence against prompt parts and requests.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,25 +12,27 @@
 use crate::{
     emit,
     gateway::{
-        message::{Accusation, SoundPart},
+        message::{Accusation, SoundKey},
         scheduler::JobNumber,
     },
     id,
-    voter::command::Mark,
+    voter::command::{Key, Mark},
 };
 
-/// Crashes within this time of each other count as one: replicas that lose power together crash
-/// together, whatever they run.
+/// Crashes within this time of each other may have a common cause: replicas that lose power together
+/// crash together, whatever they run.
 const COMMON_CAUSE_SPAN: Duration = Duration::from_millis(100);
 /// Multiple of the configured crashes that convicts a part although other parts of the same requests
 /// may be the cause.
 const AMBIGUOUS_FACTOR: u32 = 2;
-/// Time after a sound answer in which its parts are not convicted.
+/// Time after a sound answer in which its keys are not convicted.
 const PROVEN_TTL: Duration = Duration::from_secs(60);
-/// Number of parts that are remembered as sound; the one that was sound longest ago is forgotten.
+/// Number of keys that are remembered as sound; the one that was sound longest ago is forgotten.
 const MAX_PROVEN: usize = 4096;
-/// Number of suspected parts above which those with the least evidence are dropped.
+/// Number of suspected keys above which those with the least evidence are dropped.
 const MAX_SUSPECTS: usize = 4096;
+/// Number of suspected keys that are left then.
+const SUSPECTS_KEPT: usize = 3072;
 /// Time without a further crash after which a suspicion is dropped.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
 /// Time after the end of a trial in which its outcome is reported; no other trial begins in it. It
@@ -38,11 +40,19 @@
 const SETTLING_TIME: Duration = Duration::from_millis(300);
 /// Number of times that [`SETTLING_TIME`] doubles at most.
 const MAX_SETTLING_DOUBLINGS: u32 = 5;
+/// Number of different times at which a request must have crashed replicas to be convicted.
+const MIN_CRASH_TIMES: u32 = 2;
+/// Time after a crash in which a request that alone had begun on that replica is not tried again. By
+/// then the replica is usually back, so that a small service does not lose all of its replicas.
+const SOLE_SUSPECT_PAUSE: Duration = Duration::from_secs(4);
+/// Time for which the requests that had begun on a crashed replica are remembered.
+const CRASH_TTL: Duration = Duration::from_secs(30);
 
 /// Limits of the ledger.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// Crashes at different times, with no sound answer in between, that convict a part.
+    /// Crashes with no sound answer in between that convict a part, if they were at different times,
+    /// or a request.
     pub conviction_crashes: u32,
 }
 
@@ -57,22 +67,29 @@
 /// Whether a request may be assigned to a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ruling {
-    /// None of its parts is suspected.
+    /// None of its keys is suspected.
     Free,
-    /// A part is suspected: the request may only run while no other request with that part does.
+    /// A key is suspected: the request may only run while no other request with that key does.
     Trial,
-    /// A part is suspected, and the outcome of a request with it is not known yet.
+    /// A key is suspected, and the outcome of a request with it is not known yet, or its last crash
+    /// is not over.
     Wait,
-    /// A part is convicted.
+    /// A key is convicted.
     Barred,
 }
 
-/// Evidence against one part.
+/// Evidence against one key.
 #[derive(Clone, Debug)]
 struct Suspect {
     crashes: u32,
+    /// Crashes by request, for a part.
+    crashes_by_request: BTreeMap<id::RequestDigest, u32>,
+    /// Number of different times of the crashes, for a request.
+    crash_times: u32,
     convicted: bool,
     last_crash: Instant,
+    /// The replica that crashed last; empty for a restored suspicion.
+    last_replica: id::Upstream,
     /// Crashes before this time are counted already, by an earlier leader.
     counted_until: Option<Instant>,
     /// Crashes on requests that had no other part which is not known to be sound.
@@ -81,15 +98,77 @@
     replicas: BTreeSet<id::Upstream>,
     /// Services of these replicas that have not answered such a request soundly since.
     services: BTreeSet<String>,
-    /// Parts that every accused request with this part had; `None` for a restored suspicion.
-    companions: Option<Arc<BTreeSet<id::PromptPart>>>,
+    /// Keys that every accused request with this key had; `None` for a restored suspicion.
+    companions: Option<Arc<BTreeSet<Key>>>,
     trial: Option<Trial>,
 }
 
-/// The last request with a suspected part that was assigned to a replica.
+/// A crash that is held against one key.
+#[derive(Clone, Copy, Debug)]
+struct Crash<'a> {
+    accusation: &'a Accusation,
+    /// Whether the request had no more than one part that is not known to be sound.
+    is_sole: bool,
+    at: Instant,
+}
+
+impl Suspect {
+    /// Counts a crash; false if it adds nothing to the evidence.
+    fn count(&mut self, key: Key, crash: &Crash<'_>) -> bool {
+        let accusation = crash.accusation;
+        let is_known = self.counted_until.is_some_and(|until| crash.at < until);
+        if is_known || !self.replicas.insert(accusation.upstream.clone()) {
+            return false;
+        }
+        self.services.insert(accusation.service.clone());
+        if let Some(trial) = &mut self.trial {
+            trial.unresolved = 0;
+        }
+        let is_apart = self.crashes == 0
+            || crash.at.saturating_duration_since(self.last_crash) > COMMON_CAUSE_SPAN
+            || self.last_crash.saturating_duration_since(crash.at) > COMMON_CAUSE_SPAN;
+        if !key.is_request() && !is_apart {
+            return false;
+        }
+        self.crashes += 1;
+        self.crash_times += u32::from(is_apart);
+        self.sole_crashes += u32::from(crash.is_sole);
+        if let (Key::Part(_), Some(digest)) = (key, accusation.digest) {
+            *self.crashes_by_request.entry(digest).or_default() += 1;
+        }
+        if crash.at >= self.last_crash {
+            self.last_crash = crash.at;
+            self.last_replica.clone_from(&accusation.upstream);
+        }
+        true
+    }
+
+    /// Whether the evidence convicts.
+    fn is_guilty(&self, key: Key, config: &Config) -> bool {
+        let needed = config.conviction_crashes;
+        match key {
+            // Replicas that run one request and crash at the same time may have lost power.
+            Key::Request(_) => {
+                self.crashes >= needed && self.crash_times >= MIN_CRASH_TIMES.min(needed)
+            }
+            // The crashes of one request count once: the request itself may be the cause.
+            Key::Part(_) => {
+                let repeated = self.crashes_by_request.values().max();
+                let crashes = self.crashes - repeated.map_or(0, |count| count - 1);
+                match self.sole_crashes {
+                    0 => crashes >= needed * AMBIGUOUS_FACTOR,
+                    _ => crashes >= needed,
+                }
+            }
+        }
+    }
+}
+
+/// The last request with a suspected key that was sent to a replica.
 #[derive(Clone, Debug)]
 struct Trial {
     number: JobNumber,
+    /// Empty if the gateway selected it.
     replica: id::Upstream,
     ended_at: Option<Instant>,
     /// Earlier trials in a row that showed nothing.
@@ -112,24 +191,31 @@
     }
 }
 
-/// Suspected and convicted parts.
+/// Suspected and convicted keys.
 #[derive(Debug, Default)]
 pub struct Ledger {
     config: Config,
-    suspects: BTreeMap<id::PromptPart, Suspect>,
-    /// When a sound answer last had each part. They are suspected again, but not convicted.
-    proven: BTreeMap<id::PromptPart, Instant>,
-    /// Parts whose mark has changed since the last [`Ledger::take_changes`].
-    changed: BTreeSet<id::PromptPart>,
+    suspects: BTreeMap<Key, Suspect>,
+    /// When each key last had a sound answer. They are suspected again, but not convicted.
+    proven: BTreeMap<Key, Instant>,
+    /// Suspected keys that have had a trial.
+    tried: BTreeSet<Key>,
+    /// Crashed replicas: when, and which requests had just begun there, two at the most.
+    crashed: BTreeMap<id::Upstream, (Instant, BTreeSet<id::RequestDigest>)>,
+    /// Keys whose mark has changed since the last [`Ledger::take_changes`].
+    changed: BTreeSet<Key>,
 }
 
 impl Ledger {
     /// Creates a ledger that goes on from the replicated marks.
-    pub fn new(config: Config, marks: &BTreeMap<id::PromptPart, Mark>, now: Instant) -> Self {
+    pub fn new(config: Config, marks: &BTreeMap<Key, Mark>, now: Instant) -> Self {
         let suspect = |mark: &Mark| Suspect {
             crashes: mark.crashes,
+            crashes_by_request: BTreeMap::new(),
+            crash_times: 1,
             convicted: mark.convicted,
             last_crash: now,
+            last_replica: id::Upstream::new(),
             counted_until: Some(now),
             sole_crashes: 0,
             replicas: BTreeSet::new(),
@@ -137,16 +223,18 @@
             companions: None,
             trial: None,
         };
-        let suspects = marks.iter().map(|(part, mark)| (*part, suspect(mark)));
+        let suspects = marks.iter().map(|(key, mark)| (*key, suspect(mark)));
         Self {
             config,
             suspects: suspects.collect(),
             proven: BTreeMap::new(),
+            tried: BTreeSet::new(),
+            crashed: BTreeMap::new(),
             changed: BTreeSet::new(),
         }
     }
 
-    /// Whether no part is suspected or convicted.
+    /// Whether nothing is suspected or convicted.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
@@ -156,53 +244,88 @@
     pub fn accuse(&mut self, accusation: &Accusation, now: Instant) {
         let silence = Duration::from_millis(accusation.silent_ms);
         let crashed_at = now.checked_sub(silence).unwrap_or(now);
-        let mut parts: BTreeSet<id::PromptPart> = accusation.parts.iter().copied().collect();
-        if parts.iter().any(|part| self.is_convicted(*part)) {
-            // The convicted part explains the crash.
-            parts.retain(|part| self.is_convicted(*part));
+        self.record_replica(accusation, crashed_at);
+        let mut keys: BTreeSet<Key> = accusation.keys().collect();
+        self.keep_convicted(&mut keys);
+        let is_unproven = |key: &&Key| !key.is_request() && !self.is_proven(**key, crashed_at);
+        let crash = Crash {
+            accusation,
+            is_sole: keys.iter().filter(is_unproven).count() == 1,
+            at: crashed_at,
+        };
+        let companions = Arc::new(keys.clone());
+        let request = accusation.digest.map(Key::Request);
+        if let Some(request) = request.filter(|request| keys.remove(request)) {
+            self.record_crash(request, &crash, Some(&companions));
+            keys.insert(request);
+            self.keep_convicted(&mut keys);
+            keys.remove(&request);
         }
-        let unproven = parts
-            .iter()
-            .filter(|part| !self.is_proven(**part, crashed_at));
-        let is_sole = unproven.count() == 1;
-        let parts = Arc::new(parts);
-        for part in parts.iter() {
-            self.record_crash(*part, accusation, Some(&parts), is_sole, crashed_at);
+        for key in keys {
+            self.record_crash(key, &crash, Some(&companions));
         }
-        let on_trial = self.suspects.iter().filter(|(_, suspect)| {
-            let trial = suspect.trial.as_ref();
+        let suspects = &self.suspects;
+        self.tried.retain(|key| suspects.contains_key(key));
+        let on_trial = self.tried.iter().copied().filter(|key| {
+            let trial = suspects.get(key).and_then(|suspect| suspect.trial.as_ref());
             trial.is_some_and(|trial| trial.ran_until(&accusation.upstream, crashed_at))
         });
-        let on_trial: Vec<id::PromptPart> = on_trial.map(|(part, _)| *part).collect();
-        for part in on_trial {
-            self.record_crash(part, accusation, None, false, crashed_at);
+        let on_trial: Vec<Key> = on_trial.collect();
+        for key in on_trial {
+            let crash = Crash {
+                is_sole: false,
+                ..crash
+            };
+            self.record_crash(key, &crash, None);
         }
         self.drop_excess();
     }
 
-    fn is_proven(&self, part: id::PromptPart, now: Instant) -> bool {
-        let proven_at = self.proven.get(&part);
+    /// Keeps only the convicted keys if there are any: they explain the crash.
+    fn keep_convicted(&self, keys: &mut BTreeSet<Key>) {
+        if keys.iter().any(|key| self.is_convicted(*key)) {
+            keys.retain(|key| self.is_convicted(*key));
+        }
+    }
+
+    /// Remembers which requests had just begun on a crashed replica.
+    fn record_replica(&mut self, accusation: &Accusation, crashed_at: Instant) {
+        if !self.crashed.contains_key(&accusation.upstream) {
+            self.crashed
+                .retain(|_, (at, _)| crashed_at < *at + CRASH_TTL);
+        }
+        let entry = self.crashed.entry(accusation.upstream.clone());
+        let (_, requests) = entry.or_insert_with(|| (crashed_at, BTreeSet::new()));
+        if requests.len() < 2 {
+            requests.extend(accusation.digest);
+        }
+    }
+
+    fn is_proven(&self, key: Key, now: Instant) -> bool {
+        let proven_at = self.proven.get(&key);
         proven_at.is_some_and(|at| now < *at + PROVEN_TTL)
     }
 
-    fn is_convicted(&self, part: id::PromptPart) -> bool {
-        let suspect = self.suspects.get(&part);
+    fn is_convicted(&self, key: Key) -> bool {
+        let suspect = self.suspects.get(&key);
         suspect.is_some_and(|suspect| suspect.convicted)
     }
 
     fn record_crash(
         &mut self,
-        part: id::PromptPart,
-        accusation: &Accusation,
-        companions: Option<&Arc<BTreeSet<id::PromptPart>>>,
-        is_sole: bool,
-        crashed_at: Instant,
+        key: Key,
+        crash: &Crash<'_>,
+        companions: Option<&Arc<BTreeSet<Key>>>,
     ) {
-        let is_proven = self.is_proven(part, crashed_at);
-        let suspect = self.suspects.entry(part).or_insert_with(|| Suspect {
+        let accusation = crash.accusation;
+        let is_proven = self.is_proven(key, crash.at);
+        let suspect = self.suspects.entry(key).or_insert_with(|| Suspect {
             crashes: 0,
+            crashes_by_request: BTreeMap::new(),
+            crash_times: 0,
             convicted: false,
-            last_crash: crashed_at,
+            last_crash: crash.at,
+            last_replica: id::Upstream::new(),
             counted_until: None,
             sole_crashes: 0,
             replicas: BTreeSet::new(),
@@ -216,90 +339,72 @@
             let common = known.intersection(companions);
             *known = Arc::new(common.copied().collect());
         }
-        let is_counted = suspect
-            .counted_until
-            .is_some_and(|until| crashed_at < until);
-        if is_counted || !suspect.replicas.insert(accusation.upstream.clone()) {
+        if !suspect.count(key, crash) {
             return;
         }
-        suspect.services.insert(accusation.service.clone());
-        if let Some(trial) = &mut suspect.trial {
-            trial.unresolved = 0;
-        }
-        let apart = |one: Instant, other: Instant| {
-            one.saturating_duration_since(other) > COMMON_CAUSE_SPAN
-                || other.saturating_duration_since(one) > COMMON_CAUSE_SPAN
-        };
-        if suspect.crashes > 0 && !apart(crashed_at, suspect.last_crash) {
-            return;
-        }
-        suspect.crashes += 1;
-        suspect.sole_crashes += u32::from(is_sole);
-        suspect.last_crash = suspect.last_crash.max(crashed_at);
-        self.changed.insert(part);
+        self.changed.insert(key);
         let (crashes, replica) = (suspect.crashes, &accusation.upstream);
         let request = &accusation.request;
-        let needed = match suspect.sole_crashes {
-            0 => self.config.conviction_crashes * AMBIGUOUS_FACTOR,
-            _ => self.config.conviction_crashes,
-        };
-        if suspect.convicted || is_proven || crashes < needed {
-            emit!(
-                PART_SUSPECTED,
-                "part={part:x} crashes={crashes} upstream={replica} request={request}"
-            );
+        if suspect.convicted || is_proven || !suspect.is_guilty(key, &self.config) {
+            let text = format!("crashes={crashes} upstream={replica} request={request}");
+            match key {
+                Key::Part(_) => emit!(PART_SUSPECTED, "part={key} {text}"),
+                Key::Request(_) => emit!(REQUEST_SUSPECTED, "key={key} {text}"),
+            }
             return;
         }
         suspect.convicted = true;
         let replicas: Vec<&str> = suspect.replicas.iter().map(String::as_str).collect();
         let replicas = replicas.join(",");
-        emit!(
-            PART_CONVICTED,
-            "part={part:x} crashes={crashes} upstreams={replicas} request={request}"
-        );
-        self.drop_companions(part);
+        let text = format!("crashes={crashes} upstreams={replicas} request={request}");
+        match key {
+            Key::Part(_) => emit!(PART_CONVICTED, "part={key} {text}"),
+            Key::Request(_) => emit!(REQUEST_CONVICTED, "key={key} {text}"),
+        }
+        self.drop_companions(key);
     }
 
-    /// Drops suspicions that a convicted part explains: all accused requests with the suspected part
+    /// Drops suspicions that a convicted key explains: all accused requests with the suspected key
     /// had the convicted one too.
-    fn drop_companions(&mut self, convicted: id::PromptPart) {
+    fn drop_companions(&mut self, convicted: Key) {
         let changed = &mut self.changed;
-        self.suspects.retain(|part, suspect| {
+        self.suspects.retain(|key, suspect| {
             let companions = suspect.companions.as_ref();
             let explained = companions.is_some_and(|others| others.contains(&convicted));
             let keep = suspect.convicted || !explained;
             if !keep {
-                changed.insert(*part);
+                changed.insert(*key);
             }
             keep
         });
     }
 
     fn drop_excess(&mut self) {
-        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS);
-        if excess == 0 {
+        if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
+        let excess = self.suspects.len() - SUSPECTS_KEPT;
         let unconvicted = self.suspects.iter().filter(|(_, one)| !one.convicted);
-        let rank = |(part, one): (&id::PromptPart, &Suspect)| (one.crashes, one.last_crash, *part);
+        let rank = |(key, one): (&Key, &Suspect)| (one.crashes, one.last_crash, *key);
         let mut ranked: Vec<_> = unconvicted.map(rank).collect();
         ranked.sort_unstable();
-        for (_, _, part) in ranked.into_iter().take(excess) {
-            self.remove(part);
+        for (_, _, key) in ranked.into_iter().take(excess) {
+            self.remove(key);
         }
     }
 
-    fn remove(&mut self, part: id::PromptPart) {
-        if self.suspects.remove(&part).is_some() {
-            self.changed.insert(part);
+    fn remove(&mut self, key: Key) {
+        if self.suspects.remove(&key).is_some() {
+            self.changed.insert(key);
         }
     }
 
-    /// Clears a part that a sound answer had: replicas of that service do not crash on it.
-    pub fn clear(&mut self, sound: &SoundPart, now: Instant) {
+    /// Clears a key that had a sound answer: replicas of that service do not crash on it.
+    pub fn clear(&mut self, sound: &SoundKey, now: Instant) {
+        let key = sound.key();
         let age = Duration::from_millis(sound.age_ms);
         let began_at = now.checked_sub(age).unwrap_or(now);
-        let Some(suspect) = self.suspects.get_mut(&sound.part) else {
+        let Some(suspect) = self.suspects.get_mut(&key) else {
             return;
         };
         if began_at + CLEARING_WINDOW < suspect.last_crash {
@@ -307,26 +412,27 @@
         }
         suspect.services.remove(&sound.service);
         if suspect.services.is_empty() {
-            self.proven.insert(sound.part, now);
+            self.proven.insert(key, now);
             if self.proven.len() > MAX_PROVEN {
                 let oldest = self.proven.iter().min_by_key(|(_, at)| **at);
-                let oldest = oldest.map(|(part, _)| *part);
-                oldest.map(|part| self.proven.remove(&part));
+                let oldest = oldest.map(|(key, _)| *key);
+                oldest.map(|key| self.proven.remove(&key));
             }
-            emit!(
-                PART_CLEARED,
-                "part={:x} crashes={} convicted={}",
-                sound.part,
-                suspect.crashes,
-                suspect.convicted
+            let text = format!(
+                "crashes={} convicted={}",
+                suspect.crashes, suspect.convicted
             );
-            self.remove(sound.part);
+            match key {
+                Key::Part(_) => emit!(PART_CLEARED, "part={key} {text}"),
+                Key::Request(_) => emit!(REQUEST_CLEARED, "key={key} {text}"),
+            }
+            self.remove(key);
         }
     }
 
-    /// Drops a part that an operator has lifted.
-    pub fn lift(&mut self, part: id::PromptPart) {
-        self.remove(part);
+    /// Drops a key that an operator has lifted.
+    pub fn lift(&mut self, key: Key) {
+        self.remove(key);
     }
 
     /// Drops suspicions that have not been confirmed for long.
@@ -335,29 +441,28 @@
             .suspects
             .iter()
             .filter(|(_, suspect)| !suspect.convicted && now >= suspect.last_crash + SUSPICION_TTL);
-        let expired: Vec<id::PromptPart> = expired.map(|(part, _)| *part).collect();
-        for part in expired {
-            self.remove(part);
+        let expired: Vec<Key> = expired.map(|(key, _)| *key).collect();
+        for key in expired {
+            self.remove(key);
         }
     }
 
-    /// Whether a request with these shareable parts may be assigned to a replica now.
-    pub fn ruling(&self, parts: &[id::PromptPart], now: Instant) -> Ruling {
+    /// Whether a request with these keys may be sent to a replica now.
+    pub fn ruling(&self, keys: &[Key], now: Instant) -> Ruling {
         if self.suspects.is_empty() {
             return Ruling::Free;
         }
         let mut ruling = Ruling::Free;
-        for suspect in parts.iter().filter_map(|part| self.suspects.get(part)) {
+        for key in keys {
+            let Some(suspect) = self.suspects.get(key) else {
+                continue;
+            };
             if suspect.convicted {
                 return Ruling::Barred;
             }
-            let trial = suspect.trial.as_ref();
-            let settled = trial.is_none_or(|trial| {
-                trial
-                    .settled_at()
-                    .is_some_and(|settled_at| now >= settled_at)
-            });
-            ruling = match (settled, ruling) {
+            let held_until = self.held_until(*key, suspect);
+            let is_settled = held_until.is_some_and(|until| now >= until);
+            ruling = match (is_settled, ruling) {
                 (true, Ruling::Free | Ruling::Trial) => Ruling::Trial,
                 _ => Ruling::Wait,
             };
@@ -365,25 +470,59 @@
         ruling
     }
 
-    /// Suspected parts among those of a request.
-    pub fn suspected<'a>(
-        &'a self,
-        parts: &'a [id::PromptPart],
-    ) -> impl Iterator<Item = id::PromptPart> + 'a {
-        let parts = parts.iter().copied();
-        parts.filter(|part| self.suspects.contains_key(part))
+    /// Time until which no request with a suspected key may be sent; `None` while one runs.
+    fn held_until(&self, key: Key, suspect: &Suspect) -> Option<Instant> {
+        let paused_until = match key {
+            Key::Request(_) if self.is_sole_suspect(suspect) => {
+                suspect.last_crash + SOLE_SUSPECT_PAUSE
+            }
+            _ => suspect.last_crash,
+        };
+        match &suspect.trial {
+            Some(trial) => Some(trial.settled_at()?.max(paused_until)),
+            None => Some(paused_until),
+        }
+    }
+
+    /// Whether no other request had just begun on the replica that crashed last.
+    fn is_sole_suspect(&self, suspect: &Suspect) -> bool {
+        let crash = self.crashed.get(&suspect.last_replica);
+        crash.is_some_and(|(_, requests)| requests.len() <= 1)
+    }
+
+    /// Time until a request with these keys may be sent, if no request with them runs now.
+    pub fn wait(&self, keys: &[Key], now: Instant) -> Duration {
+        let suspects = keys.iter().filter_map(|key| {
+            let suspect = self.suspects.get(key)?;
+            Some(self.held_until(*key, suspect))
+        });
+        let waits = suspects
+            .map(|until| until.map_or(SETTLING_TIME, |until| until.saturating_duration_since(now)));
+        waits.max().unwrap_or_default()
     }
 
-    /// Records that a request with suspected parts was assigned to a replica.
-    pub fn begin_trial(&mut self, parts: &[id::PromptPart], number: JobNumber, replica: &str) {
-        for part in parts {
-            let Some(suspect) = self.suspects.get_mut(part) else {
+    /// Whether a request with these keys may not be sent until after a time.
+    pub fn holds_until(&self, keys: &[Key], time: Instant, now: Instant) -> bool {
+        !self.suspects.is_empty() && now + self.wait(keys, now) > time
+    }
+
+    /// Suspected keys among those of a request.
+    pub fn suspected<'a>(&'a self, keys: &'a [Key]) -> impl Iterator<Item = Key> + 'a {
+        let keys = keys.iter().copied();
+        keys.filter(|key| self.suspects.contains_key(key))
+    }
+
+    /// Records that a request with suspected keys was sent to a replica.
+    pub fn begin_trial(&mut self, keys: &[Key], number: JobNumber, replica: &str) {
+        for key in keys {
+            let Some(suspect) = self.suspects.get_mut(key) else {
                 continue;
             };
             let unresolved = suspect
                 .trial
                 .as_ref()
                 .map_or(0, |trial| trial.unresolved + 1);
+            self.tried.insert(*key);
             suspect.trial = Some(Trial {
                 number,
                 replica: replica.to_owned(),
@@ -404,43 +543,42 @@
         }
     }
 
-    /// Mark of one part; one without crashes if it is not suspected.
-    fn mark(&self, part: id::PromptPart) -> Mark {
-        let suspect = self.suspects.get(&part);
-        suspect.map_or_else(
-            || Mark {
-                part,
-                ..Mark::default()
-            },
-            |suspect| Mark {
-                part,
+    /// Mark of one key; one without crashes if it is not suspected.
+    fn mark(&self, key: Key) -> Mark {
+        let mark = Mark::cleared(key);
+        match self.suspects.get(&key) {
+            Some(suspect) => Mark {
                 crashes: suspect.crashes,
                 convicted: suspect.convicted,
                 services: suspect.services.iter().cloned().collect(),
+                ..mark
             },
-        )
+            None => mark,
+        }
     }
 
-    /// Marks of all suspected and convicted parts.
+    /// Marks of everything that is suspected or convicted.
     pub fn marks(&self) -> impl Iterator<Item = Mark> {
-        self.suspects.keys().map(|part| self.mark(*part))
+        self.suspects.keys().map(|key| self.mark(*key))
     }
 
-    /// Marks that have changed since the last call. One without crashes stands for a part that is no
+    /// Marks that have changed since the last call. One without crashes stands for a key that is no
     /// longer suspected.
     pub fn take_changes(&mut self) -> Vec<Mark> {
         let changed = std::mem::take(&mut self.changed);
-        changed.into_iter().map(|part| self.mark(part)).collect()
+        changed.into_iter().map(|key| self.mark(key)).collect()
     }
 
-    /// Marks that differ from the replicated ones.
-    pub fn unreplicated(&self, replicated: &BTreeMap<id::PromptPart, Mark>) -> Vec<Mark> {
-        let known = |mark: &Mark| replicated.get(&mark.part) == Some(mark);
-        let new = self.marks().filter(|mark| !known(mark));
+    /// Marks that must be replicated and differ from the replicated ones. Most requests with one crash
+    /// are bystanders, so they are left out.
+    pub fn unreplicated(&self, replicated: &BTreeMap<Key, Mark>) -> Vec<Mark> {
+        let known = |mark: &Mark| replicated.get(&mark.key()) == Some(mark);
+        let is_kept = |mark: &Mark| !mark.is_request || mark.crashes > 1;
+        let new = self.marks().filter(|mark| is_kept(mark) && !known(mark));
         let gone = replicated
             .keys()
-            .filter(|part| !self.suspects.contains_key(part));
-        let gone = gone.map(|part| self.mark(*part));
+            .filter(|key| !self.suspects.contains_key(key));
+        let gone = gone.map(|key| self.mark(*key));
         new.chain(gone).collect()
     }
 }
--- a/crates/tanagershift/src/gateway/quarantine/report.rs
+++ b/crates/tanagershift/src/gateway/quarantine/report.rs
@@ -1,19 +1,19 @@
-//! Reports replicas that crashed on a request to the leader, and prompts that proved sound.
+//! Reports replicas that crashed on a request to the leader, and requests that proved sound.
 
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
-use super::{BEGINNING, shareable_parts};
+use super::BEGINNING;
 use crate::{
     gateway::{
         Gateway,
         connection::is_gone,
         exchange::Job,
-        message::{Accusation, Tally, Upstream},
+        message::{Accusation, Tally, Upstream, split_keys},
         progress::Progress,
     },
-    id,
+    voter::command::Key,
     wire::Body,
 };
 
@@ -21,7 +21,7 @@
 const SILENCE: Duration = Duration::from_millis(1500);
 
 impl Gateway {
-    /// Handles an answer that broke off. If the answer had just begun and its replica is gone, the
+    /// Handles an answer that broke off or does not come. If the answer had just begun and its replica is gone, the
     /// leader is told; it knows when the returned future ends. The report goes on if the future is
     /// dropped because the caller leaves.
     pub fn report_crash(
@@ -30,12 +30,11 @@
         upstream: &Upstream,
         progress: Progress,
     ) -> impl Future<Output = ()> + Send + use<> {
-        let parts = shareable_parts(&job.head.prompt_parts);
         let has_begun = progress.span().is_none_or(|span| span <= BEGINNING);
-        let report = (has_begun && !parts.is_empty()).then(|| {
+        let report = has_begun.then(|| {
             let (gateway, upstream) = (self.clone(), upstream.clone());
-            let request = job.head.id.clone();
-            tokio::spawn(gateway.accuse_if_gone(request, parts, upstream, progress))
+            let (request, keys) = (job.head.id.clone(), job.keys.clone());
+            tokio::spawn(gateway.accuse_if_gone(request, keys, upstream, progress))
         });
         async move {
             if let Some(report) = report {
@@ -48,7 +47,7 @@
     async fn accuse_if_gone(
         self: Arc<Self>,
         request: String,
-        parts: Vec<id::PromptPart>,
+        keys: Vec<Key>,
         upstream: Upstream,
         progress: Progress,
     ) {
@@ -64,16 +63,19 @@
         } else {
             silence
         };
+        let (parts, digest) = split_keys(&keys);
         let accusation = Accusation {
             request,
             upstream: upstream.name,
             service: upstream.service,
             silent_ms: (silence + (now - broken_at)).as_millis() as u64,
             parts,
+            digest,
         };
         log::info!(
-            "event=crash.report request={} upstream={} parts={:x?} silent_ms={}",
+            "event=crash.report request={} digest={:016x} upstream={} parts={:x?} silent_ms={}",
             accusation.request,
+            accusation.digest.unwrap_or_default(),
             accusation.upstream,
             accusation.parts,
             accusation.silent_ms
@@ -96,15 +98,11 @@
 
     /// Records that an upstream answered a job soundly.
     pub fn report_sound(&self, job: &Job, upstream: &Upstream, progress: &Progress) {
-        let parts = shareable_parts(&job.head.prompt_parts);
-        if parts.is_empty() {
-            return;
-        }
         let (service, now) = (&upstream.service, Instant::now());
         let began_at = progress.began_at();
         if self
             .quarantine()
-            .record_sound(&parts, service, began_at, now)
+            .record_sound(&job.keys, service, began_at, now)
         {
             self.tally_wanted.notify_one();
         }
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -21,7 +21,7 @@
     prompt_rate::PromptRate,
     quarantine::{Ledger, Ruling},
 };
-use crate::id;
+use crate::{id, voter::command::Key};
 
 /// Limits on what a replica is assigned.
 #[derive(Clone, Debug, PartialEq)]
@@ -139,8 +139,8 @@
     pub replica: id::Upstream,
     /// Adapter that it uses; `None` for the base model alone.
     pub adapter: Option<String>,
-    /// Ids of the prompt parts that other requests may share.
-    pub part_ids: Vec<id::PromptPart>,
+    /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
+    pub keys: Vec<Key>,
     /// When the job was assigned.
     pub assigned_at: Instant,
 }
@@ -215,10 +215,10 @@
         Some(running)
     }
 
-    /// Shareable prompt parts of an assigned job; `None` if it has ended.
-    pub fn running_parts(&self, number: JobNumber) -> Option<&[id::PromptPart]> {
+    /// Keys of an assigned job; `None` if it has ended.
+    pub fn running_keys(&self, number: JobNumber) -> Option<&[Key]> {
         let running = self.running.get(&number)?;
-        Some(&running.part_ids)
+        Some(&running.keys)
     }
 
     /// Number of jobs that were assigned to a replica and have not ended.
@@ -283,10 +283,10 @@
             decisions.push(Decision::Refuse { number, holders: 0 });
         }
         ranked.sort_by_key(|(rank, _, _)| *rank);
-        // A request with fewer suspected parts shows more, so it is tried first.
+        // A request with fewer suspected keys shows more, so it is tried first.
         let suspected = |number: &JobNumber| {
             let job = self.waiting.get(number);
-            job.map_or(0, |job| ledger.suspected(&job.part_ids).count())
+            job.map_or(0, |job| ledger.suspected(&job.keys).count())
         };
         if !ledger.is_empty() {
             ranked.sort_by_cached_key(|((_, _, _, number), _, _)| suspected(number));
@@ -301,7 +301,7 @@
                 .iter()
                 .filter(|one| !job.excludes(&one.name, pauses, now))
                 .filter(|one| limits.has_room(&one.name, now));
-            let ruling = ledger.ruling(&job.part_ids, now);
+            let ruling = ledger.ruling(&job.keys, now);
             let candidate = match ruling {
                 Ruling::Free => self.cheapest_candidate(job, free, &prompt_rate, now),
                 Ruling::Trial if !self.is_in_flight(ledger, job, now) => {
@@ -325,7 +325,7 @@
                     holders: found.len(),
                     is_trial: ruling == Ruling::Trial,
                 });
-            } else if now >= job.refuse_at {
+            } else if now >= job.refuse_at || ledger.holds_until(&job.keys, job.refuse_at, now) {
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
                 }
@@ -337,13 +337,13 @@
         decisions
     }
 
-    /// Removes the waiting jobs with a prompt part that crashes replicas.
+    /// Removes the waiting jobs that crash replicas, or that have a prompt part which does.
     fn bar(&mut self, ledger: &Ledger, now: Instant) -> Vec<Decision> {
         if ledger.is_empty() {
             return Vec::new();
         }
         let barred = self.waiting.values();
-        let barred = barred.filter(|job| ledger.ruling(&job.part_ids, now) == Ruling::Barred);
+        let barred = barred.filter(|job| ledger.ruling(&job.keys, now) == Ruling::Barred);
         let barred: Vec<JobNumber> = barred.map(|job| job.number).collect();
         for number in &barred {
             self.remove(*number);
@@ -352,14 +352,13 @@
         barred.into_iter().map(bar).collect()
     }
 
-    /// Whether an assigned job shares a suspected prompt part with a waiting one, and may not have
+    /// Whether an assigned job shares a suspected key with a waiting one, and may not have
     /// begun yet.
     fn is_in_flight(&self, ledger: &Ledger, job: &Job, now: Instant) -> bool {
         let mut running = self.running.values();
         running.any(|running| {
-            let shared = |part: id::PromptPart| running.part_ids.contains(&part);
-            now < running.assigned_at + MAX_BEGIN_TIME
-                && ledger.suspected(&job.part_ids).any(shared)
+            let shared = |key: Key| running.keys.contains(&key);
+            now < running.assigned_at + MAX_BEGIN_TIME && ledger.suspected(&job.keys).any(shared)
         })
     }
 
@@ -468,7 +467,7 @@
         let running = RunningJob {
             replica: replica.to_owned(),
             adapter: job.adapter,
-            part_ids: job.part_ids,
+            keys: job.keys,
             assigned_at: now,
         };
         self.running.insert(number, running);
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -28,7 +28,7 @@
         objective: now + Duration::from_millis(750),
         refuse_at: now + Duration::from_millis(2800),
         tried: Vec::new(),
-        part_ids: Vec::new(),
+        keys: Vec::new(),
     }
 }
 
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -10,9 +10,9 @@
     choose::{Choice, Requirements, choose},
     exchange::{Job, SelectedUpstream},
     forward::{MIN_SERVICE_TIME, Rejection, STARTUP_WAIT, Trace},
-    quarantine::{Standing, shareable_parts},
+    quarantine::Standing,
 };
-use crate::admission::Access;
+use crate::{admission::Access, link::Call};
 
 /// Longest wait for a change in adapter placement before an upstream is selected again.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
@@ -32,8 +32,7 @@
     trace: &mut Trace,
 ) -> Result<SelectedUpstream, Rejection> {
     let began = Instant::now();
-    let parts = shareable_parts(&job.head.prompt_parts);
-    reject_convicted(gateway, gateway.quarantine().standing(&parts))?;
+    reject_convicted(gateway, gateway.quarantine().standing(&job.keys))?;
     if job.head.model.is_some() {
         if let Some(selected) = ask_leader(gateway, job, trace).await? {
             return Ok(selected);
@@ -42,11 +41,8 @@
             gateway.view().count_request(adapter);
         }
     }
-    let standing = gateway.quarantine().standing_alone(&parts, began);
-    if standing != Standing::Clear {
-        gateway.metrics.quarantined_requests.inc();
-        return Err(Rejection::quarantined(standing));
-    }
+    let mut leave = ask_leave(gateway, job, began).await?;
+    let is_trial = leave.is_some();
     gateway.view().count_limited_demand(&job.service);
     let startup_until = job.received_at + STARTUP_WAIT.min((job.deadline - job.received_at) / 2);
     let mut wait_guard: Option<AdapterWaitGuard> = None;
@@ -74,8 +70,9 @@
                 return Ok(SelectedUpstream {
                     upstream,
                     version,
-                    grant: None,
-                    is_trial: false,
+                    grant: leave.take(),
+                    is_assigned: false,
+                    is_trial,
                 });
             }
             Choice::Limited(after) => {
@@ -109,7 +106,35 @@
     }
 }
 
-/// Rejects a request with a prompt part that crashes replicas.
+/// Asks the leader whether a suspected request may run on an upstream that this gateway selects.
+/// Returns `None` if the request is not suspected, or else the call that stays open while it runs.
+///
+/// # Errors
+///
+/// The leader rejects the request, or there is no leader that could let it run alone.
+async fn ask_leave(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    now: Instant,
+) -> Result<Option<Call>, Rejection> {
+    let standing = gateway.quarantine().standing_alone(&job.keys, now);
+    let rejection = match (standing, &job.head.model) {
+        (Standing::Clear, _) => return Ok(None),
+        (Standing::Suspected, None) => match ask(gateway, job, &[]).await {
+            Answer::Allowed(call) => return Ok(Some(call)),
+            Answer::Refused(rejection) => rejection,
+            Answer::Granted { .. } | Answer::NoLeader => Rejection::quarantined(standing),
+        },
+        // The leader assigns requests that name a model, and could not be asked.
+        (Standing::Suspected, Some(_)) | (Standing::Convicted, _) => {
+            Rejection::quarantined(standing)
+        }
+    };
+    gateway.metrics.quarantined_requests.inc();
+    Err(rejection)
+}
+
+/// Rejects a request that crashes replicas, or has a prompt part which does.
 fn reject_convicted(gateway: &Gateway, standing: Standing) -> Result<(), Rejection> {
     if standing != Standing::Convicted {
         return Ok(());
@@ -163,11 +188,12 @@
                     upstream,
                     version,
                     grant: Some(call),
+                    is_assigned: true,
                     is_trial,
                 }));
             }
             Answer::Refused(rejection) => return Err(rejection),
-            Answer::NoLeader => return Ok(None),
+            Answer::Allowed(_) | Answer::NoLeader => return Ok(None),
         }
     }
 }
--- a/crates/tanagershift/src/voter/command.rs
+++ b/crates/tanagershift/src/voter/command.rs
@@ -1,9 +1,11 @@
 //! Commands in the replicated log, and their outcomes.
 
+use std::{fmt, num::ParseIntError, str::FromStr};
+
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
-use crate::catalog::ChangeSet;
+use crate::{catalog::ChangeSet, id};
 
 /// A command in the replicated log.
 #[derive(Clone, PartialEq)]
@@ -48,51 +50,142 @@
     /// Records which host sends the orders to replicas from now on.
     #[prost(message, tag = "10")]
     Holder(Holder),
-    /// Records prompt parts that crash replicas.
+    /// Records prompt parts and requests that crash replicas.
     #[prost(message, tag = "11")]
     Quarantine(Quarantine),
-    /// Lifts a prompt part out of quarantine.
+    /// Lifts a prompt part or a request out of quarantine.
     #[prost(message, tag = "12")]
     Lift(Lift),
 }
 
-/// Changed marks of prompt parts.
+/// Changed marks of prompt parts and requests.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
 pub struct Quarantine {
-    /// One mark a part.
+    /// One mark a key.
     #[prost(message, repeated, tag = "1")]
     pub marks: Vec<Mark>,
 }
 
-/// Evidence that a prompt part crashes replicas.
+/// What may crash replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    /// A part of prompts.
+    Part(id::PromptPart),
+    /// A whole request.
+    Request(id::RequestDigest),
+}
+
+/// How operators see and name a request; a part is shown by its id alone.
+const REQUEST_PREFIX: &str = "request:";
+
+impl Key {
+    /// Creates a key from its form in messages.
+    pub fn new(value: u64, is_request: bool) -> Self {
+        match is_request {
+            true => Self::Request(value),
+            false => Self::Part(value),
+        }
+    }
+
+    /// Whether this is a whole request.
+    pub fn is_request(self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+
+    /// Id of the part, or digest of the request.
+    pub fn value(self) -> u64 {
+        match self {
+            Self::Part(value) | Self::Request(value) => value,
+        }
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(id) => write!(formatter, "{id:x}"),
+            Self::Request(digest) => write!(formatter, "{REQUEST_PREFIX}{digest:016x}"),
+        }
+    }
+}
+
+impl FromStr for Key {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        let request = text.strip_prefix(REQUEST_PREFIX);
+        let value = u64::from_str_radix(request.unwrap_or(text), 16)?;
+        Ok(Self::new(value, request.is_some()))
+    }
+}
+
+/// Evidence that a prompt part or a request crashes replicas.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
 pub struct Mark {
-    /// Id of the part.
+    /// Id of the part, or digest of the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
-    /// Crashes at different times; zero if the part is no longer suspected.
+    pub value: u64,
+    /// Crashes that count; zero if the key is no longer suspected.
     #[prost(uint32, tag = "2")]
     pub crashes: u32,
-    /// Whether requests with the part are rejected.
+    /// Whether requests with the key are rejected.
     #[prost(bool, tag = "3")]
     pub convicted: bool,
     /// Services whose replicas crashed.
     #[prost(string, repeated, tag = "4")]
     pub services: Vec<String>,
+    /// Whether `value` is the digest of a request.
+    #[prost(bool, tag = "5")]
+    pub is_request: bool,
 }
 
-/// Lifts a prompt part out of quarantine.
+impl Mark {
+    /// Creates the mark of a key that is not suspected.
+    pub fn cleared(key: Key) -> Self {
+        Self {
+            value: key.value(),
+            is_request: key.is_request(),
+            ..Self::default()
+        }
+    }
+
+    /// What the mark is about.
+    pub fn key(&self) -> Key {
+        Key::new(self.value, self.is_request)
+    }
+}
+
+/// Lifts a prompt part or a request out of quarantine.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
 pub struct Lift {
-    /// Id of the part.
+    /// Id of the part, or digest of the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub value: u64,
     /// Operator who lifts it.
     #[prost(string, tag = "2")]
     pub operator: String,
+    /// Whether `value` is the digest of a request.
+    #[prost(bool, tag = "3")]
+    pub is_request: bool,
+}
+
+impl Lift {
+    /// Creates the command of an operator.
+    pub fn new(key: Key, operator: String) -> Self {
+        Self {
+            value: key.value(),
+            is_request: key.is_request(),
+            operator,
+        }
+    }
+
+    /// What is lifted.
+    pub fn key(&self) -> Key {
+        Key::new(self.value, self.is_request)
+    }
 }
 
 /// The host that sends the orders to replicas.
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    command::{Assign, Command, Effect, Holder, Mark, MemberChange, Order, Outcome},
+    command::{Assign, Command, Effect, Holder, Key, Mark, MemberChange, Order, Outcome},
     feed::{catch_up, pack, routes, send_updates},
     folder::{identity_report, wait_for_group},
     lease::{self, Leases},
@@ -203,7 +203,7 @@
     /// Copy of the announced versions that is shared with the published status.
     announced: Arc<BTreeMap<String, u64>>,
     /// Copy of the marks of prompt parts that is shared with the published status.
-    marks: Arc<BTreeMap<id::PromptPart, Mark>>,
+    marks: Arc<BTreeMap<Key, Mark>>,
     /// Members that the last log line on the membership named.
     last_emitted_members: Members,
     /// Reads of the routing configuration, each with the heartbeat round that a majority must answer
--- a/crates/tanagershift/src/voter/report.rs
+++ b/crates/tanagershift/src/voter/report.rs
@@ -155,11 +155,11 @@
     })
 }
 
-/// Prompt parts that are suspected or convicted of crashing replicas.
+/// Prompt parts and requests that are suspected or convicted of crashing replicas.
 fn quarantine(state: &State) -> Value {
     let row = |mark: &super::command::Mark| {
         json!({
-            "part": format!("{:x}", mark.part),
+            "key": mark.key().to_string(),
             "convicted": mark.convicted,
             "crashes": mark.crashes,
             "services": mark.services,
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -6,7 +6,7 @@
 use prost::{Message, encoding::message};
 
 use super::command::{
-    Announcement, Answer, Assignment, Audit, Claim, Claimed, Command, Document, Drain, Effect,
+    Announcement, Answer, Assignment, Audit, Claim, Claimed, Command, Document, Drain, Effect, Key,
     Lift, Mark, MemberChange, Move, Order, Outcome, Published, Settle, Standing,
 };
 use crate::{
@@ -126,7 +126,7 @@
     /// Host that sends the orders to replicas; empty before the first.
     holder: id::Host,
     /// Prompt parts that are suspected or convicted of crashing replicas.
-    marks: BTreeMap<id::PromptPart, Mark>,
+    marks: BTreeMap<Key, Mark>,
 }
 
 impl State {
@@ -166,7 +166,7 @@
     }
 
     /// Prompt parts that are suspected or convicted of crashing replicas.
-    pub fn marks(&self) -> &BTreeMap<id::PromptPart, Mark> {
+    pub fn marks(&self) -> &BTreeMap<Key, Mark> {
         &self.marks
     }
 
@@ -454,16 +454,17 @@
     }
 
     fn record_mark(&mut self, mark: &Mark) {
-        let known = self.marks.get(&mark.part);
+        let key = mark.key();
+        let known = self.marks.get(&key);
         let was_convicted = known.is_some_and(|known| known.convicted);
         if mark.crashes == 0 {
-            self.marks.remove(&mark.part);
+            self.marks.remove(&key);
         } else if known.is_some() || self.marks.len() < MARKS_KEPT {
-            self.marks.insert(mark.part, mark.clone());
+            self.marks.insert(key, mark.clone());
         }
         if mark.convicted != was_convicted {
             self.record_audit(Audit {
-                what: format!("prompt part {:x} after {} crashes", mark.part, mark.crashes),
+                what: format!("{} after {} crashes", noun(key), mark.crashes),
                 outcome: if mark.convicted {
                     "quarantined"
                 } else {
@@ -476,12 +477,13 @@
     }
 
     fn lift(&mut self, lift: &Lift) -> String {
-        if self.marks.remove(&lift.part).is_none() {
-            return format!("prompt part {:x} is not in quarantine", lift.part);
+        let key = lift.key();
+        if self.marks.remove(&key).is_none() {
+            return format!("{} is not in quarantine", noun(key));
         }
         self.record_audit(Audit {
             operator: lift.operator.clone(),
-            what: format!("prompt part {:x}", lift.part),
+            what: noun(key),
             outcome: "lifted".to_owned(),
             ..Audit::default()
         });
@@ -561,7 +563,7 @@
             marks: image
                 .marks
                 .into_iter()
-                .map(|mark| (mark.part, mark))
+                .map(|mark| (mark.key(), mark))
                 .collect(),
             announced: image
                 .announced
@@ -635,3 +637,11 @@
     }
     names.join(", ")
 }
+
+/// What the audit trail calls a part or a request.
+fn noun(key: Key) -> String {
+    match key {
+        Key::Part(_) => format!("prompt part {key}"),
+        Key::Request(_) => key.to_string(),
+    }
+}
--- a/crates/tanagershift/src/voter/status.rs
+++ b/crates/tanagershift/src/voter/status.rs
@@ -9,7 +9,7 @@
 
 use tokio::{sync::watch, time::Instant};
 
-use super::command::{Document, Mark};
+use super::command::{Document, Key, Mark};
 use crate::{clock, id, quorum::message::Member};
 
 /// Membership, leadership, accepted routing configuration and announced versions of the group, as
@@ -32,7 +32,7 @@
     /// Highest announced version of each adapter.
     pub announced: Arc<BTreeMap<String, u64>>,
     /// Prompt parts that are suspected or convicted of crashing replicas.
-    pub marks: Arc<BTreeMap<id::PromptPart, Mark>>,
+    pub marks: Arc<BTreeMap<Key, Mark>>,
     /// Host that sends the orders to replicas; empty before the first.
     pub holder: id::Host,
     /// Host that sent them before this voter led; `None` while it does not lead.
--- a/crates/tanagershift/src/voter/tests.rs
+++ b/crates/tanagershift/src/voter/tests.rs
@@ -11,7 +11,7 @@
 
 use super::{
     command::{
-        Answer, Assign, Claim, Claimed, Command, Effect, Lift, Mark, Move, Order, Outcome,
+        Answer, Assign, Claim, Claimed, Command, Effect, Key, Lift, Mark, Move, Order, Outcome,
         Published, Quarantine, Settle, Standing,
     },
     lease::{self, Leases},
@@ -730,15 +730,15 @@
 #[test]
 fn marks_of_prompt_parts_outlast_snapshots_until_they_are_lifted() {
     let mark = |part, crashes, convicted| Mark {
-        part,
         crashes,
         convicted,
         services: vec!["llm".to_owned()],
+        ..Mark::cleared(Key::Part(part))
     };
     let record = |marks| Command::of(Order::Quarantine(Quarantine { marks }));
     let lift = |part| {
-        let operator = "ana".to_owned();
-        Command::of(Order::Lift(Lift { part, operator }))
+        let key = Key::Part(part);
+        Command::of(Order::Lift(Lift::new(key, "ana".to_owned())))
     };
     let mut state = State::default();
     state.apply(&record(vec![
@@ -748,9 +748,9 @@
     ]));
     state.apply(&record(vec![mark(7, 0, false)]));
     let mut state = State::decode(state.encode()).unwrap();
-    let parts: Vec<u64> = state.marks().keys().copied().collect();
-    assert_eq!(parts, [8, 9]);
-    assert!(state.marks()[&8].convicted);
+    let keys: Vec<Key> = state.marks().keys().copied().collect();
+    assert_eq!(keys, [Key::Part(8), Key::Part(9)]);
+    assert!(state.marks()[&Key::Part(8)].convicted);
     let outcome = |text: &str| Outcome::of(Effect::Done(text.to_owned()));
     assert_eq!(state.apply(&lift(8)), outcome(""));
     assert_eq!(
--- a/crates/tanagershiftctl/src/arguments.rs
+++ b/crates/tanagershiftctl/src/arguments.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use tanagershift::voter::command::Key;
 
 /// Operators' tool of tanagershift.
 #[derive(FromArgs)]
@@ -144,20 +145,21 @@
 #[argh(subcommand, name = "replicas")]
 pub struct Replicas {}
 
-/// Show prompt parts that are suspected or convicted of crashing replicas, or lift one.
+/// Show prompt parts and requests that are suspected or convicted of crashing replicas, or lift one.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "quarantine")]
 pub struct Quarantine {
-    /// id of a part, as it is shown; its requests are sent to replicas again
-    #[argh(option, from_str_fn(prompt_part))]
-    pub lift: Option<u64>,
+    /// key of a part or a request, as it is shown; it is sent to replicas again
+    #[argh(option, from_str_fn(quarantine_key))]
+    pub lift: Option<Key>,
     /// who lifts it (default: the environment's USER)
     #[argh(option)]
     pub operator: Option<String>,
 }
 
-fn prompt_part(text: &str) -> Result<u64, String> {
-    u64::from_str_radix(text, 16).map_err(|_| format!("`{text}` is not a hexadecimal number"))
+fn quarantine_key(text: &str) -> Result<Key, String> {
+    text.parse()
+        .map_err(|_| format!("`{text}` is not a key of the quarantine"))
 }
 
 /// Change the voters.
--- a/crates/tanagershiftctl/src/quarantine.rs
+++ b/crates/tanagershiftctl/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Prompt parts that crash replicas.
+//! Prompt parts and requests that crash replicas.
 
 use tanagershift::voter::command::{Effect, Lift, Order};
 
@@ -9,23 +9,21 @@
 };
 
 impl Group {
-    /// Shows the prompt parts that are suspected or convicted, or lifts one.
+    /// Shows the prompt parts and requests that are suspected or convicted, or lifts one.
     ///
     /// # Errors
     ///
-    /// No leader answered, or the part is not in quarantine.
+    /// No leader answered, or the key is not in quarantine.
     pub(crate) async fn quarantine(&self, quarantine: arguments::Quarantine) -> Result<(), Error> {
-        let Some(part) = quarantine.lift else {
+        let Some(key) = quarantine.lift else {
             return self.show_quarantine().await;
         };
-        let order = Order::Lift(Lift {
-            part,
-            operator: quarantine.operator.unwrap_or_else(user),
-        });
+        let operator = quarantine.operator.unwrap_or_else(user);
+        let order = Order::Lift(Lift::new(key, operator));
         match self.propose(order, ASK_TIMEOUT).await? {
             Effect::Done(reason) if !reason.is_empty() => Err(Error::Refused { reason }),
             _ => {
-                println!("prompt part {part:x} is lifted");
+                println!("{key} is lifted");
                 Ok(())
             }
         }
@@ -37,7 +35,7 @@
             println!("{list}");
             return Ok(());
         }
-        let keys = ["part", "convicted", "crashes", "services"];
+        let keys = ["key", "convicted", "crashes", "services"];
         table::print(&keys, &rows(&list, &keys));
         Ok(())
     }
