software: streams go on at the version that began them

Clients got streams whose first part one software version of tutor-assistant had written and another one the rest, with nothing in the answer to show it. Cause: nothing read the list's version or the header Resumes. A broken stream was resumed, and a client's take-up served, at any replica with the adapter. Change: the list's version belongs to an upstream. Each service has a baseline in the log; a stream that is granted a replica of another version is recorded there before the grant goes out, so that any later leader knows it and an unrecorded stream belongs to the baseline. The baseline changes once it has not been listed for as long as its streams can be taken up. The gateway names the version that has written events when it resumes; a take-up is looked up by Resumes. Both are only assigned replicas of that version, adapters are loaded there if need be, and a request that none can serve is refused at once. Without a leader, gateways begin streams at the baseline alone and take none up while two versions are listed.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -11,7 +11,7 @@
 use super::{
     Gateway,
     dialect::RequestHead,
-    exchange::Job,
+    exchange::{Job, Resumption},
     forward::Rejection,
     message::{Ask, Grant, Upstream, split_keys},
 };
@@ -54,11 +54,16 @@
 }
 
 /// Asks the leader to assign a replica to a job; `excluded` names the replicas that must not get it.
-pub async fn ask(gateway: &Gateway, job: &Job, excluded: &[String]) -> Answer {
+pub async fn ask(
+    gateway: &Gateway,
+    job: &Job,
+    resumption: &Resumption,
+    excluded: &[String],
+) -> Answer {
     if !gateway.heard_leader_within(LEADER_SILENCE_LIMIT) {
         return Answer::NoLeader;
     }
-    let body = Body::Ask(ask_message(gateway, job, excluded));
+    let body = Body::Ask(ask_message(gateway, job, resumption, excluded));
     let opened = timeout(CONNECT_TIMEOUT, gateway.leader.call(body)).await;
     let Ok(Some(mut call)) = opened else {
         return Answer::NoLeader;
@@ -101,7 +106,7 @@
     }
 }
 
-fn ask_message(gateway: &Gateway, job: &Job, excluded: &[String]) -> Ask {
+fn ask_message(gateway: &Gateway, job: &Job, resumption: &Resumption, excluded: &[String]) -> Ask {
     let now = Instant::now();
     let objective = job.received_at + job.route.objective.mul_f64(1.0 - OBJECTIVE_MARGIN);
     let give_up = job.route.objective.mul_f64(GIVE_UP_OBJECTIVES);
@@ -128,6 +133,10 @@
         host: gateway.host.clone(),
         part_ids,
         digest,
+        is_resumable: job.route.resumable,
+        continues: job.head.resume_after.is_some(),
+        resumes: job.head.resumes.clone().unwrap_or_default(),
+        software: resumption.software.clone().unwrap_or_default(),
     }
 }
 
--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -23,6 +23,8 @@
     pub model: Option<&'a str>,
     /// Adapter that the request names, as MODEL/NAME.
     pub adapter: Option<&'a str>,
+    /// Software version that the upstream must have; `None` if any will do.
+    pub software: Option<&'a str>,
     /// Names of upstreams that were tried already.
     pub tried: &'a [String],
     /// Availability zone of this host.
@@ -54,6 +56,10 @@
     let live: Vec<&KnownUpstream> = view
         .upstreams_of(requirements.service)
         .filter(|known| !known.upstream.draining)
+        .filter(|known| {
+            let needed = requirements.software;
+            needed.is_none_or(|one| one == known.upstream.software)
+        })
         .filter(|known| !requirements.tried.contains(&known.upstream.name))
         .filter(|known| !matches!(access(known), Access::Leaving { .. }))
         .collect();
--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -270,6 +270,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -35,6 +35,8 @@
     pub prompt_parts: Vec<(u64, u32)>,
     /// Id of the event after which the stream continues, if the caller resumes one.
     pub resume_after: Option<u64>,
+    /// Id of the request whose answer began that stream, if the caller names it.
+    pub resumes: Option<String>,
 }
 
 /// Values of the headers that the system adds to a request for a replica.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -55,6 +55,15 @@
     pub deadline: Instant,
 }
 
+/// What the rest of an answer must continue.
+#[derive(Clone, Debug, Default)]
+pub struct Resumption {
+    /// Id of the event after which the stream continues.
+    pub after: Option<u64>,
+    /// Software version that wrote the events so far; `None` before the first.
+    pub software: Option<id::Software>,
+}
+
 /// An upstream's response whose head has arrived.
 #[derive(Debug)]
 pub struct UpstreamResponse {
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -16,7 +16,7 @@
 use super::{
     Gateway,
     configuration::{Configuration, Limits, Route, RouteKind},
-    exchange::{FailedAttempt, Job, UpstreamResponse, exchange},
+    exchange::{FailedAttempt, Job, Resumption, UpstreamResponse, exchange},
     quarantine::{
         CONVICTED_REASON, CONVICTED_RETRY_AFTER, SUSPECTED_REASON, Standing, request_digest,
         request_keys,
@@ -249,7 +249,8 @@
 ) -> Result<Response<Body>, Rejection> {
     match job.route.kind {
         RouteKind::Stream => {
-            let upstream_response = send_with_retries(gateway, &job, trace, None).await?;
+            let upstream_response =
+                send_with_retries(gateway, &job, trace, &Resumption::default()).await?;
             if !upstream_response.head.status.is_success() {
                 let response = read_response(gateway, &job, upstream_response).await;
                 return finish_request(gateway, &job, trace, response);
@@ -260,7 +261,8 @@
             Ok(response)
         }
         RouteKind::Idempotent | RouteKind::Once => loop {
-            let upstream_response = send_with_retries(gateway, &job, trace, None).await?;
+            let upstream_response =
+                send_with_retries(gateway, &job, trace, &Resumption::default()).await?;
             let response = read_response(gateway, &job, upstream_response).await;
             if let Err(failed) = &response {
                 trace.last_failure.clone_from(&failed.reason);
@@ -392,13 +394,13 @@
     gateway: &Arc<Gateway>,
     job: &Job,
     trace: &mut Trace,
-    resume_after: Option<u64>,
+    resumption: &Resumption,
 ) -> Result<UpstreamResponse, Rejection> {
     loop {
-        let selected = select_upstream(gateway, job, trace).await;
+        let selected = select_upstream(gateway, job, resumption, trace).await;
         let selected = selected.map_err(|rejection| as_502_if_may_have_run(rejection, trace))?;
         trace.tried.push(selected.upstream.name.clone());
-        let outcome = exchange(gateway, job, selected, resume_after).await;
+        let outcome = exchange(gateway, job, selected, resumption.after).await;
         let failed = match outcome {
             Ok(upstream_response) => {
                 trace.arrivals += 1;
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -6,7 +6,8 @@
 //! * `limits`: spreads upstreams' limits, and hands out permits.
 //! * `notices`: messages to and from gateways.
 //! * `reachability`: finds replicas that are gone.
-//! * `quarantine`: spreads and replicates the marks of prompt parts.
+//! * `quarantine`: rules on suspected requests, spreads and replicates the marks.
+//! * `software`: lets streams go on at the software version that began them.
 
 mod configuration_history;
 mod limits;
@@ -14,6 +15,7 @@
 mod quarantine;
 mod queue;
 mod reachability;
+mod software;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -83,6 +85,8 @@
     List(Vec<Upstream>),
     /// An order, identified by term, replica and number, was answered or got no answer in time.
     Ordered(id::Term, id::Upstream, u64, OrderOutcome),
+    /// Software versions of streams were replicated, or not in time.
+    Recorded(id::Term, software::Recorded),
     /// Whether a replica is gone, as a check found.
     Checked(id::Term, id::Upstream, bool),
     /// A replica sent its report; `None` if there was no valid answer.
@@ -163,6 +167,8 @@
     checks: Checks,
     /// Request rates that upstreams have named.
     limits: Limits,
+    /// Software versions of streams.
+    software: software::State,
     /// Evidence against prompt parts and requests that crash replicas.
     ledger: Ledger,
     /// Marks as they are replicated.
@@ -265,6 +271,9 @@
         if !state.limits.is_empty() {
             wake = wake.min(Instant::now() + limits::PERMIT_INTERVAL);
         }
+        if state.software.is_due(Instant::now()) {
+            wake = wake.min(Instant::now());
+        }
         if state.marks_differ {
             wake = wake.min(state.next_marks_proposal);
         }
@@ -306,6 +315,7 @@
         {
             if let Some(configuration) = self.gateway.read_document(document) {
                 state.placement.configure(&configuration, Instant::now());
+                state.software.configure(&configuration);
                 let services = configuration.services.values();
                 let token_capacity = services.filter_map(|service| {
                     Some((service.name.clone(), service.engine.as_ref()?.kv_tokens))
@@ -373,6 +383,7 @@
             pauses: Pauses::default(),
             checks: Checks::default(),
             limits: Limits::default(),
+            software: software::State::new(&status.streams),
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
             marks_differ: false,
@@ -418,7 +429,13 @@
             Input::Checked(term, replica, gone) if term == state.term => {
                 state.apply_check(&replica, gone, now);
             }
-            Input::Ordered(..) | Input::Reported(..) | Input::Checked(..) => {}
+            Input::Recorded(term, recorded) if term == state.term => {
+                // Without the lease, the record may stand in the log of a later leader.
+                let leads = self.voter_status.may_order();
+                state.apply_recorded(recorded, leads, now);
+            }
+            Input::Ordered(..) | Input::Reported(..) | Input::Checked(..) | Input::Recorded(..) => {
+            }
         }
     }
 
@@ -437,6 +454,7 @@
         state.spread_limits(now);
         state.start_checks(&self.gateway, &self.inputs, now);
         state.decide(now);
+        state.record_software(&self.gateway, &self.inputs, now);
         let may_order = state.may_order(&self.voter_status, now);
         for action in state.placement.tick(may_order, now) {
             if let Action::Order { replica, .. } = &action {
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -61,6 +61,7 @@
             marks: self.ledger.marks().collect(),
             limits: self.limits.reports(),
             permits: Vec::new(),
+            baselines: self.baselines(),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -208,6 +209,10 @@
         }
         let first = self.list.number == 0;
         self.placement.set_upstreams(&upstreams, now);
+        let software = upstreams
+            .iter()
+            .map(|one| (one.service.as_str(), one.software.as_str()));
+        self.software.set_listed(software, now);
         let listed: BTreeSet<&str> = upstreams.iter().map(|one| one.name.as_str()).collect();
         self.limits.retain_listed(&listed, now);
         self.scheduler.retain_replicas(|name| listed.contains(name));
@@ -315,11 +320,12 @@
             self.next_summary = now + SUMMARY_INTERVAL;
             self.ledger.expire(now);
             log::info!(
-                "event=hub.summary term={} hosts={} waiting={} open={} paces={:.1?} {:?}",
+                "event=hub.summary term={} hosts={} waiting={} open={} streams={} paces={:.1?} {:?}",
                 self.term,
                 self.gateways.len(),
                 self.scheduler.waiting(),
                 self.requests.len(),
+                self.recorded_streams(),
                 self.scheduler.rates(),
                 self.placement.summary()
             );
@@ -398,8 +404,8 @@
     }
 }
 
-/// Whether two readings of the list have the same upstreams, with the same addresses, services and
-/// draining states.
+/// Whether two readings of the list have the same upstreams, with the same addresses, services, software
+/// versions and draining states.
 ///
 /// Loaded adapters are not compared: they change with every order, and the outcomes of orders
 /// describe them more accurately.
@@ -409,6 +415,7 @@
             && left.draining == right.draining
             && left.address == right.address
             && left.service == right.service
+            && left.software == right.software
     };
     known.len() == read.len() && known.iter().zip(read).all(same)
 }
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -4,13 +4,14 @@
 
 use tokio::time::Instant;
 
-use super::{LeaderState, ReplicaRequest};
+use super::{LeaderState, ReplicaRequest, software};
 use crate::{
     gateway::{
         message::{Ask, Demand, Grant},
         placement, quarantine,
         scheduler::{Candidate, Decision, Job, JobNumber, PromptPart},
     },
+    id,
     link::Responder,
     wire::Body,
 };
@@ -41,6 +42,10 @@
             waiting: 0,
         };
         self.placement.record_demand(&[demand], now);
+        let required = match self.required_software(&ask, now) {
+            Ok(required) => required,
+            Err(refusal) => return refuse_take_up(&ask, refusal, responder),
+        };
         let patience = Duration::from_millis(ask.give_up_ms);
         let wait = self.placement.load_wait(wanted, self.orders_from, now);
         if let Some(wait) = wait.filter(|wait| *wait > patience) {
@@ -55,7 +60,22 @@
             received_at: now,
         };
         self.requests.insert(number, request);
-        self.scheduler.add(job_from_ask(number, ask, now));
+        self.scheduler.add(job_from_ask(number, ask, required, now));
+    }
+
+    /// Software version at which a request must run, if it continues a stream.
+    fn required_software(
+        &self,
+        ask: &Ask,
+        now: Instant,
+    ) -> Result<Option<id::Software>, software::Refusal> {
+        let required = self.software.required(ask)?;
+        let placement = &self.placement;
+        let serves = |one: &String| placement.serves_at(&ask.service, &ask.model, one, now);
+        if required.as_ref().is_none_or(serves) {
+            return Ok(required);
+        }
+        Err(software::Refusal::Gone)
     }
 
     /// Refuses a request whose adapter would be loaded only after its caller has given up. The
@@ -131,8 +151,14 @@
         let decisions =
             self.scheduler
                 .decide(pauses, ledger, limits, now, |group, oldest, jobs| {
-                    let serves_group =
-                        |one: &&placement::Replica| one.upstream.service == group.service;
+                    let serves_group = |one: &&placement::Replica| {
+                        let software = &one.upstream.software;
+                        one.upstream.service == group.service
+                            && group
+                                .software
+                                .as_ref()
+                                .is_none_or(|needed| needed == software)
+                    };
                     let Some(adapter) = &group.adapter else {
                         let holders = placement.holders(&group.model, now).filter(serves_group);
                         return holders.map(|one| candidate(one, None)).collect();
@@ -143,21 +169,28 @@
                         .map(|(one, version)| candidate(one, Some(version)))
                         .collect();
                     if found.is_empty() {
-                        missing.push((adapter.clone(), jobs));
+                        missing.push((adapter.clone(), group.software.clone(), jobs));
                     } else if found.iter().all(|one| {
                         full.contains(&one.name) || oldest.excludes(&one.name, pauses, now)
                     }) {
-                        tried.push(adapter.clone());
+                        tried.push((adapter.clone(), group.software.clone()));
                     }
                     found
                 });
-        for (adapter, jobs) in missing {
-            self.placement.request_load(&adapter, jobs as u32, now);
+        for (adapter, software, jobs) in missing {
+            match software {
+                Some(software) => self.placement.load_at(&adapter, &software, now),
+                None => self.placement.request_load(&adapter, jobs as u32, now),
+            }
         }
         let saturated = self.scheduler.saturated_groups(SATURATION_LIMIT, now);
-        let saturated = saturated.filter_map(|group| group.adapter.clone());
-        for adapter in tried.into_iter().chain(saturated) {
-            self.placement.scale_out(&adapter, now);
+        let saturated =
+            saturated.filter_map(|group| Some((group.adapter.clone()?, group.software.clone())));
+        for (adapter, software) in tried.into_iter().chain(saturated) {
+            match software {
+                Some(software) => self.placement.load_at(&adapter, &software, now),
+                None => self.placement.scale_out(&adapter, now),
+            }
         }
         self.scheduler.adapt(now);
         for decision in decisions {
@@ -194,15 +227,13 @@
                     now.duration_since(request.received_at).as_millis(),
                     self.scheduler.waiting(),
                 );
-                let grant = Body::Grant(Grant {
+                let grant = Grant {
                     replica,
                     version: version.unwrap_or(0),
                     is_trial,
                     ..Grant::default()
-                });
-                if request.responder.send_now(grant).is_err() {
-                    self.end_request(number, now);
-                }
+                };
+                self.grant(number, grant, now);
             }
             Decision::Bar { number } => {
                 let Some(request) = self.requests.remove(&number) else {
@@ -216,27 +247,79 @@
                 }));
             }
             Decision::Refuse { number, holders } => {
-                let Some(request) = self.requests.remove(&number) else {
-                    return;
-                };
-                log::info!(
-                    "event=schedule.refuse request={} waited_ms={} waiting={} holders={holders}",
-                    request.id,
-                    now.duration_since(request.received_at).as_millis(),
-                    self.requests.len()
-                );
-                request.responder.finish_now(Body::Grant(Grant {
-                    retry_after_ms: RETRY_AFTER.as_millis() as u64,
-                    reason: "no replica could begin it in time".to_owned(),
-                    ..Grant::default()
-                }));
+                if let Some(request) = self.requests.get(&number) {
+                    log::info!(
+                        "event=schedule.refuse request={} waited_ms={} waiting={} holders={holders}",
+                        request.id,
+                        now.duration_since(request.received_at).as_millis(),
+                        self.requests.len() - 1
+                    );
+                }
+                self.refuse(number, "no replica could begin it in time", now);
+            }
+        }
+    }
+
+    /// Grants an assigned request its replica, unless its stream must be replicated first.
+    fn grant(&mut self, number: JobNumber, grant: Grant, now: Instant) {
+        let replica = self.placement.replicas().get(&grant.replica);
+        let running = self.scheduler.running(number);
+        let request = self.requests.get(&number);
+        let grant = match (replica, running, request) {
+            (Some(replica), Some(running), Some(request)) if running.is_resumable => {
+                let upstream = &replica.upstream;
+                let (service, software) = (&upstream.service, &upstream.software);
+                self.software
+                    .hold(number, service, &request.id, software, grant)
             }
+            _ => Some(grant),
+        };
+        if let Some(grant) = grant {
+            self.send_grant(number, grant, now);
+        }
+    }
+
+    /// Sends a grant to the gateway of a request.
+    pub(super) fn send_grant(&mut self, number: JobNumber, grant: Grant, now: Instant) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        if request.responder.send_now(Body::Grant(grant)).is_err() {
+            self.end_request(number, now);
         }
     }
+
+    /// Refuses a request that may be retried later.
+    pub(super) fn refuse(&mut self, number: JobNumber, reason: &str, now: Instant) {
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        request.responder.finish_now(Body::Grant(Grant {
+            retry_after_ms: RETRY_AFTER.as_millis() as u64,
+            reason: reason.to_owned(),
+            ..Grant::default()
+        }));
+        self.end_request(number, now);
+    }
+}
+
+/// Refuses to take up a stream that cannot go on at the software version that began it.
+fn refuse_take_up(ask: &Ask, refusal: software::Refusal, responder: Responder) {
+    log::info!(
+        "event=software.refuse request={} resumes={} service={} reason={refusal:?}",
+        ask.request,
+        ask.resumes,
+        ask.service
+    );
+    responder.finish_now(Body::Grant(Grant {
+        retry_after_ms: RETRY_AFTER.as_millis() as u64,
+        reason: refusal.reason().to_owned(),
+        ..Grant::default()
+    }));
 }
 
 /// Converts a request for a replica to a job of the scheduler.
-fn job_from_ask(number: JobNumber, ask: Ask, now: Instant) -> Job {
+fn job_from_ask(number: JobNumber, ask: Ask, software: Option<id::Software>, now: Instant) -> Job {
     let objective = Duration::from_millis(ask.objective_ms.unsigned_abs());
     let objective = match ask.objective_ms >= 0 {
         true => now + objective,
@@ -263,6 +346,8 @@
         objective,
         refuse_at: now + Duration::from_millis(ask.give_up_ms),
         tried: ask.tried,
+        software,
+        is_resumable: ask.is_resumable,
         keys,
     }
 }
--- a/crates/tanagershift/src/gateway/job.rs
+++ b/crates/tanagershift/src/gateway/job.rs
@@ -51,6 +51,10 @@
     pub refuse_at: Instant,
     /// Replicas that earlier attempts were sent to; they are not chosen again.
     pub tried: Vec<id::Upstream>,
+    /// Software version that it must run on, since it continues a stream; `None` if any will do.
+    pub software: Option<id::Software>,
+    /// Whether its answer is a stream that may be taken up when it breaks off.
+    pub is_resumable: bool,
     /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
     pub keys: Vec<Key>,
 }
@@ -64,6 +68,8 @@
     pub model: String,
     /// Adapter that the jobs need, as MODEL/NAME; `None` for the base model alone.
     pub adapter: Option<String>,
+    /// Software version that the jobs need; `None` if any will do.
+    pub software: Option<id::Software>,
 }
 
 /// Pauses that replicas have asked gateways for, by host of the gateway.
@@ -104,6 +110,7 @@
             service: self.service.clone(),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
+            software: self.software.clone(),
         }
     }
 }
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -6,7 +6,10 @@
 use prost::Message;
 
 use super::patch::Patch;
-pub use crate::voter::command::{Announcement, Document, Key, Mark};
+pub use crate::voter::{
+    command::{Announcement, Document, Key, Mark},
+    software::Baseline,
+};
 
 /// Subscribes a gateway to the leader's state. The leader answers with a stream of [`Notice`]s.
 #[derive(Clone, PartialEq)]
@@ -80,6 +83,10 @@
     /// Permits for the receiving gateway.
     #[prost(message, repeated, tag = "15")]
     pub permits: Vec<Permit>,
+    /// Software version of each service at which a gateway without a leader may begin streams; empty
+    /// when unchanged.
+    #[prost(message, repeated, tag = "16")]
+    pub baselines: Vec<Baseline>,
 }
 
 /// The platform's list of upstreams.
@@ -125,6 +132,9 @@
     /// Start time in milliseconds since the Unix epoch; zero if unknown.
     #[prost(uint64, tag = "9")]
     pub started_at_ms: u64,
+    /// Version of its software; empty if the list states none.
+    #[prost(string, tag = "10")]
+    pub software: String,
 }
 
 /// A base model on a replica.
@@ -419,6 +429,18 @@
     /// Digest of the request; absent if an older host asks.
     #[prost(fixed64, optional, tag = "16")]
     pub digest: Option<u64>,
+    /// Whether the answer is a stream that may be taken up when it breaks off.
+    #[prost(bool, tag = "17")]
+    pub is_resumable: bool,
+    /// Whether the caller takes up a stream that broke off.
+    #[prost(bool, tag = "18")]
+    pub continues: bool,
+    /// Request whose answer began that stream; empty if the caller does not name it.
+    #[prost(string, tag = "19")]
+    pub resumes: String,
+    /// Software version that has begun the answer to this request; empty before its first event.
+    #[prost(string, tag = "20")]
+    pub software: String,
 }
 
 impl Ask {
--- a/crates/tanagershift/src/gateway/placement/demand.rs
+++ b/crates/tanagershift/src/gateway/placement/demand.rs
@@ -77,6 +77,29 @@
         Some(until_orders + self.load_time.mul_f64(rounds + 1.0))
     }
 
+    /// Plans a load of an adapter on a replica of a software version, since streams that began at that
+    /// version need it there. Does nothing while a load of it there is planned or in progress.
+    pub fn load_at(&mut self, adapter: &str, software: &str, now: Instant) {
+        let loading = |replica: &Replica| {
+            let slot = replica.slots.get(adapter);
+            replica.upstream.software == software
+                && slot.is_some_and(|slot| {
+                    matches!(slot.state, State::Planned | State::Loading { .. })
+                })
+        };
+        if is_model(adapter) || self.load_budget() == 0 || self.replicas.values().any(loading) {
+            return;
+        }
+        let mut expected = self.expected_work(now);
+        self.plan_load_at(adapter, Some(software), &mut expected, now);
+    }
+
+    /// Whether a replica of a service takes requests for a base model at a software version.
+    pub fn serves_at(&self, service: &str, model: &str, software: &str, now: Instant) -> bool {
+        let mut holders = self.holders(model, now);
+        holders.any(|one| one.upstream.service == service && one.upstream.software == software)
+    }
+
     /// Plans a load of an adapter on one more replica because requests wait at the busy replicas
     /// that have it. Does nothing while a load of it is planned or in progress, or while the store
     /// is busy.
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -216,6 +216,17 @@
         adapter: &str,
         expected: &mut BTreeMap<id::Upstream, f64>,
         now: Instant,
+    ) -> bool {
+        self.plan_load_at(adapter, None, expected, now)
+    }
+
+    /// The same, only on replicas of a software version if there is one.
+    pub(super) fn plan_load_at(
+        &mut self,
+        adapter: &str,
+        software: Option<&str>,
+        expected: &mut BTreeMap<id::Upstream, f64>,
+        now: Instant,
     ) -> bool {
         let model = model_of(adapter);
         let rank = |replica: &Replica| {
@@ -235,6 +246,7 @@
                 && replica.is_usable()
                 && !replica.is_paused(now)
                 && !replica.is_gone(now)
+                && software.is_none_or(|one| one == replica.upstream.software)
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
         };
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -18,11 +18,11 @@
 use super::{
     Gateway,
     event_stream::EventSplitter,
-    exchange::{Job, UpstreamResponse},
+    exchange::{Job, Resumption, UpstreamResponse},
     forward::{self, Trace},
     quarantine::SURVIVAL_TIME,
 };
-use crate::verdict::Verdict;
+use crate::{id, verdict::Verdict};
 
 /// Time without an event after which a replica that has just begun an answer is checked. A replica
 /// that has lost power closes no connection, and callers leave before it is noticed otherwise.
@@ -109,6 +109,8 @@
     job: Arc<Job>,
     source: Source,
     splitter: EventSplitter,
+    /// Software version that wrote the events so far; `None` before the first.
+    software: Option<id::Software>,
     trace: Trace,
     deadline: Pin<Box<Sleep>>,
     timing: StreamTiming,
@@ -150,6 +152,7 @@
             job: Arc::new(job),
             source: Source::Response(Box::new(response)),
             splitter: EventSplitter::default(),
+            software: None,
             trace: std::mem::take(trace),
             timing: StreamTiming::default(),
             outcome: "caller_left",
@@ -224,6 +227,8 @@
         let now = Instant::now();
         if let Source::Response(response) = &mut self.source {
             response.progress.record_event(now);
+            let software = &response.guard.upstream().software;
+            self.software.get_or_insert_with(|| software.clone());
         }
         self.report_if_survived();
         match &mut self.silence {
@@ -330,7 +335,10 @@
         }
         let gateway = self.gateway.clone();
         let job = self.job.clone();
-        let resume_after = self.splitter.last_id();
+        let resumption = Resumption {
+            after: self.splitter.last_id(),
+            software: self.software.clone(),
+        };
         let mut trace = std::mem::take(&mut self.trace);
         self.is_sound = false;
         self.source = Source::Resuming(Box::pin(async move {
@@ -338,7 +346,7 @@
                 report.await;
             }
             let response =
-                forward::send_with_retries(&gateway, &job, &mut trace, resume_after).await;
+                forward::send_with_retries(&gateway, &job, &mut trace, &resumption).await;
             let response = response
                 .ok()
                 .filter(|response| response.head.status.is_success());
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -141,6 +141,8 @@
     pub adapter: Option<String>,
     /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
     pub keys: Vec<Key>,
+    /// Whether its answer is a stream that may be taken up when it breaks off.
+    pub is_resumable: bool,
     /// When the job was assigned.
     pub assigned_at: Instant,
 }
@@ -215,6 +217,11 @@
         Some(running)
     }
 
+    /// An assigned job; `None` if it has ended.
+    pub fn running(&self, number: JobNumber) -> Option<&RunningJob> {
+        self.running.get(&number)
+    }
+
     /// Keys of an assigned job; `None` if it has ended.
     pub fn running_keys(&self, number: JobNumber) -> Option<&[Key]> {
         let running = self.running.get(&number)?;
@@ -468,6 +475,7 @@
             replica: replica.to_owned(),
             adapter: job.adapter,
             keys: job.keys,
+            is_resumable: job.is_resumable,
             assigned_at: now,
         };
         self.running.insert(number, running);
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -28,6 +28,8 @@
         objective: now + Duration::from_millis(750),
         refuse_at: now + Duration::from_millis(2800),
         tried: Vec::new(),
+        software: None,
+        is_resumable: false,
         keys: Vec::new(),
     }
 }
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -8,11 +8,11 @@
     Gateway,
     ask::{Answer, ask},
     choose::{Choice, Requirements, choose},
-    exchange::{Job, SelectedUpstream},
+    exchange::{Job, Resumption, SelectedUpstream},
     forward::{MIN_SERVICE_TIME, Rejection, STARTUP_WAIT, Trace},
     quarantine::Standing,
 };
-use crate::{admission::Access, link::Call};
+use crate::{admission::Access, id, link::Call};
 
 /// Longest wait for a change in adapter placement before an upstream is selected again.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
@@ -29,18 +29,20 @@
 pub async fn select_upstream(
     gateway: &Arc<Gateway>,
     job: &Job,
+    resumption: &Resumption,
     trace: &mut Trace,
 ) -> Result<SelectedUpstream, Rejection> {
     let began = Instant::now();
     reject_convicted(gateway, gateway.quarantine().standing(&job.keys))?;
     if job.head.model.is_some() {
-        if let Some(selected) = ask_leader(gateway, job, trace).await? {
+        if let Some(selected) = ask_leader(gateway, job, resumption, trace).await? {
             return Ok(selected);
         }
         if let Some(adapter) = &job.head.adapter {
             gateway.view().count_request(adapter);
         }
     }
+    let software = required_software(gateway, job, resumption)?;
     let mut leave = ask_leave(gateway, job, began).await?;
     let is_trial = leave.is_some();
     gateway.view().count_limited_demand(&job.service);
@@ -54,6 +56,7 @@
             service: &job.service,
             model: job.head.model.as_deref(),
             adapter: job.head.adapter.as_deref(),
+            software: software.as_deref(),
             tried: &trace.tried,
             zone: &gateway.zone,
         };
@@ -106,6 +109,32 @@
     }
 }
 
+/// Software version that this gateway must select by itself for a stream; `None` if any will do.
+///
+/// # Errors
+///
+/// The version that began the stream is not known without a leader, or none may begin one.
+fn required_software(
+    gateway: &Gateway,
+    job: &Job,
+    resumption: &Resumption,
+) -> Result<Option<id::Software>, Rejection> {
+    if resumption.software.is_some() || !job.route.resumable {
+        return Ok(resumption.software.clone());
+    }
+    let view = gateway.view();
+    let software = match job.head.resume_after {
+        Some(_) => view.take_up_software(&job.service),
+        None => view.begin_software(&job.service),
+    };
+    let reason = "the software version of the stream is not known without a leader";
+    match software {
+        // Without a list the request waits for it, or is refused for that.
+        None if view.has_list() => Err(Rejection::retry_later(reason)),
+        software => Ok(software),
+    }
+}
+
 /// Asks the leader whether a suspected request may run on an upstream that this gateway selects.
 /// Returns `None` if the request is not suspected, or else the call that stays open while it runs.
 ///
@@ -120,7 +149,7 @@
     let standing = gateway.quarantine().standing_alone(&job.keys, now);
     let rejection = match (standing, &job.head.model) {
         (Standing::Clear, _) => return Ok(None),
-        (Standing::Suspected, None) => match ask(gateway, job, &[]).await {
+        (Standing::Suspected, None) => match ask(gateway, job, &Resumption::default(), &[]).await {
             Answer::Allowed(call) => return Ok(Some(call)),
             Answer::Refused(rejection) => rejection,
             Answer::Granted { .. } | Answer::NoLeader => Rejection::quarantined(standing),
@@ -152,6 +181,7 @@
 async fn ask_leader(
     gateway: &Arc<Gateway>,
     job: &Job,
+    resumption: &Resumption,
     trace: &mut Trace,
 ) -> Result<Option<SelectedUpstream>, Rejection> {
     let began = Instant::now();
@@ -163,7 +193,7 @@
         if paused.is_some() {
             return Ok(None);
         }
-        match ask(gateway, job, &excluded).await {
+        match ask(gateway, job, resumption, &excluded).await {
             Answer::Granted {
                 upstream,
                 version,
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -275,6 +275,7 @@
 
     fn selected(view: &View, tried: &[String], now: Instant) -> Option<(String, Option<u64>)> {
         let requirements = Requirements {
+            software: None,
             service: "llm",
             model: Some("base"),
             adapter: Some("base/a"),
@@ -330,6 +331,7 @@
             view.admission.admit("r1", now).unwrap();
         }
         let requirements = Requirements {
+            software: None,
             service: "llm",
             model: Some("base"),
             adapter: Some("base/a"),
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -12,7 +12,7 @@
 use super::{
     configuration::Configuration,
     limit::Permits,
-    message::{Counts, Demand, List, Notice, Pause, Residency, ServiceDemand, Upstream},
+    message::{Baseline, Counts, Demand, List, Notice, Pause, Residency, ServiceDemand, Upstream},
     placement::FIRST_VERSION,
 };
 use crate::{admission::Admission, id};
@@ -100,6 +100,8 @@
     pub limits: Permits,
     /// Requests for services that have an upstream with a limit, since the previous tally.
     limited_demand: BTreeMap<String, u32>,
+    /// Software version at which streams of each service may begin without a leader.
+    baselines: BTreeMap<String, id::Software>,
     /// Upstreams that accepted no connection since the previous tally.
     unreachable: BTreeSet<id::Upstream>,
     list_number: u64,
@@ -150,6 +152,10 @@
         for permit in &notice.permits {
             self.limits.add(permit, now);
         }
+        for baseline in &notice.baselines {
+            let Baseline { service, software } = baseline.clone();
+            self.baselines.insert(service, software);
+        }
         if notice.hosts > 0 {
             self.hosts = notice.hosts;
         }
@@ -239,6 +245,29 @@
         upstreams.filter(move |known| known.upstream.service == service)
     }
 
+    /// Software version at which a stream of a service may begin without a leader: streams that are
+    /// not recorded belong to the baseline. Once that has left, any listed version will do, as a
+    /// stream that is taken up is refused then. `None` if it cannot be known.
+    pub fn begin_software(&self, service: &str) -> Option<id::Software> {
+        let software = |known: &KnownUpstream| known.upstream.software.clone();
+        let listed: BTreeSet<id::Software> = self.upstreams_of(service).map(software).collect();
+        let baseline = self.baselines.get(service);
+        match baseline.filter(|one| listed.contains(*one)) {
+            Some(baseline) => Some(baseline.clone()),
+            None if listed.len() == 1 => listed.into_iter().next(),
+            None => None,
+        }
+    }
+
+    /// Software version at which a stream goes on that a caller takes up without a leader; `None` if
+    /// it cannot be known.
+    pub fn take_up_software(&self, service: &str) -> Option<id::Software> {
+        let baseline = self.baselines.get(service)?;
+        let mut listed = self.upstreams_of(service);
+        let is_only = listed.all(|known| known.upstream.software == *baseline);
+        is_only.then(|| baseline.clone())
+    }
+
     /// Returns the version of an adapter that a replica has loaded; `None` if it has none, or if
     /// requests for the adapter must not be sent to the replica now.
     pub fn usable_version(&self, adapter: &str, replica: &str, now: Instant) -> Option<u64> {
--- a/crates/tanagershift/src/id.rs
+++ b/crates/tanagershift/src/id.rs
@@ -20,5 +20,7 @@
 pub type PromptPart = u64;
 /// Digest of a request's path, caller and body; equal digests mean that the request came again.
 pub type RequestDigest = u64;
+/// Version of the software of an upstream, as the platform lists it.
+pub type Software = String;
 /// Number of a stream within one connection; never used twice within it.
 pub type Stream = u64;
--- a/crates/tanagershift/src/voter/command.rs
+++ b/crates/tanagershift/src/voter/command.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
+use super::software::Software;
 use crate::{catalog::ChangeSet, id};
 
 /// A command in the replicated log.
@@ -15,7 +16,7 @@
     #[prost(uint64, tag = "1")]
     pub at: u64,
     /// Operation to apply; a command without one changes nothing.
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub order: Option<Order>,
 }
 
@@ -56,6 +57,9 @@
     /// Lifts a prompt part or a request out of quarantine.
     #[prost(message, tag = "12")]
     Lift(Lift),
+    /// Records the software versions of streams.
+    #[prost(message, tag = "13")]
+    Software(Software),
 }
 
 /// Changed marks of prompt parts and requests.
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -24,6 +24,7 @@
     lease::{self, Leases},
     permit::{self, Permits},
     report,
+    software::Streams,
     state::State,
     status::{SharedStatus, VoterStatus},
 };
@@ -204,6 +205,8 @@
     announced: Arc<BTreeMap<String, u64>>,
     /// Copy of the marks of prompt parts that is shared with the published status.
     marks: Arc<BTreeMap<Key, Mark>>,
+    /// Term in which this voter last began to lead, and the software versions of streams then.
+    streams: Option<(id::Term, Arc<Streams>)>,
     /// Members that the last log line on the membership named.
     last_emitted_members: Members,
     /// Reads of the routing configuration, each with the heartbeat round that a majority must answer
@@ -362,6 +365,7 @@
             status,
             announced,
             marks,
+            streams: None,
             last_emitted_members: Members::default(),
             pending_reads: Vec::new(),
             config,
@@ -479,16 +483,25 @@
         let may_lead = self.leader_state.is_some() && lease_until.is_some();
         let leader_state = self.leader_state.as_ref().filter(|_| may_lead);
         let previous_holder = leader_state.and_then(|state| state.previous_holder.clone());
+        let leading_term = may_lead.then(|| self.node.term());
+        // The leader's hub keeps its copy up to date, so the state is copied once a term.
+        if self.streams.as_ref().map(|(term, _)| *term) != leading_term {
+            let streams = || Arc::new(self.state.streams().clone());
+            self.streams = leading_term.map(|term| (term, streams()));
+        }
+        let streams = self.streams.as_ref();
+        let streams = streams.map_or_else(Arc::default, |(_, streams)| streams.clone());
         let leader = self.node.leader();
         self.status.publish(VoterStatus {
             group: self.node.group(),
             member: self.node.id(),
-            leading_term: may_lead.then(|| self.node.term()),
+            leading_term,
             members: self.node.members().members.clone(),
             leader: leader.map_or(String::new(), |leader| leader.address.clone()),
             document: self.state.document().cloned(),
             announced: self.announced.clone(),
             marks: self.marks.clone(),
+            streams,
             holder: self.state.holder().to_owned(),
             previous_holder,
             order_age: self.node.order_age(),
--- a/crates/tanagershift/src/voter/mod.rs
+++ b/crates/tanagershift/src/voter/mod.rs
@@ -7,6 +7,7 @@
 //! * `report`: answers to queries of the operators' tool.
 //! * `folder`: assigns a data folder to a group, and formats it.
 //! * `feed`: updates for hosts that follow the leader.
+//! * `software`: software versions that began streams.
 //! * `status`: the voter's status for the rest of its process.
 //! * `membership`: creates or joins a group without action by an operator.
 //! * `driver`: runs a voter, with its input and output.
@@ -21,6 +22,7 @@
 mod membership_tests;
 pub mod permit;
 pub mod report;
+pub mod software;
 pub mod state;
 pub mod status;
 #[cfg(test)]
--- a/crates/tanagershift/src/voter/state.rs
+++ b/crates/tanagershift/src/voter/state.rs
@@ -5,9 +5,12 @@
 use bytes::Bytes;
 use prost::{Message, encoding::message};
 
-use super::command::{
-    Announcement, Answer, Assignment, Audit, Claim, Claimed, Command, Document, Drain, Effect, Key,
-    Lift, Mark, MemberChange, Move, Order, Outcome, Published, Settle, Standing,
+use super::{
+    command::{
+        Announcement, Answer, Assignment, Audit, Claim, Claimed, Command, Document, Drain, Effect,
+        Key, Lift, Mark, MemberChange, Move, Order, Outcome, Published, Settle, Standing,
+    },
+    software,
 };
 use crate::{
     catalog::{Catalog, ChangeSet, Item},
@@ -92,6 +95,10 @@
     holder: String,
     #[prost(message, repeated, tag = "13")]
     marks: Vec<Mark>,
+    #[prost(message, repeated, tag = "14")]
+    baselines: Vec<software::Baseline>,
+    #[prost(message, repeated, tag = "15")]
+    streams: Vec<software::Stream>,
 }
 
 /// An item and the revision that accepted it.
@@ -127,6 +134,8 @@
     holder: id::Host,
     /// Prompt parts that are suspected or convicted of crashing replicas.
     marks: BTreeMap<Key, Mark>,
+    /// Software versions of streams.
+    streams: software::Streams,
 }
 
 impl State {
@@ -170,6 +179,11 @@
         &self.marks
     }
 
+    /// Software versions of streams.
+    pub fn streams(&self) -> &software::Streams {
+        &self.streams
+    }
+
     /// Number of claims that are kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -243,6 +257,10 @@
                 }
                 Effect::Done(String::new())
             }
+            Some(Order::Software(software)) => {
+                self.streams.apply(software, self.latest_millis);
+                Effect::Done(String::new())
+            }
             Some(Order::Lift(lift)) => Effect::Done(self.lift(lift)),
             None => Effect::Done(String::new()),
         };
@@ -519,6 +537,8 @@
             announced: self.announcements().collect(),
             holder: self.holder.clone(),
             marks: self.marks.values().cloned().collect(),
+            baselines: self.streams.baselines().collect(),
+            streams: self.streams.streams().collect(),
         };
         let mut bytes = image.encode_to_vec();
         // Items are encoded one at a time; collecting them first would take several times the memory
@@ -565,6 +585,7 @@
                 .into_iter()
                 .map(|mark| (mark.key(), mark))
                 .collect(),
+            streams: software::Streams::restore(image.baselines, &image.streams),
             announced: image
                 .announced
                 .into_iter()
--- a/crates/tanagershift/src/voter/status.rs
+++ b/crates/tanagershift/src/voter/status.rs
@@ -9,7 +9,10 @@
 
 use tokio::{sync::watch, time::Instant};
 
-use super::command::{Document, Key, Mark};
+use super::{
+    command::{Document, Key, Mark},
+    software::Streams,
+};
 use crate::{clock, id, quorum::message::Member};
 
 /// Membership, leadership, accepted routing configuration and announced versions of the group, as
@@ -33,6 +36,8 @@
     pub announced: Arc<BTreeMap<String, u64>>,
     /// Prompt parts that are suspected or convicted of crashing replicas.
     pub marks: Arc<BTreeMap<Key, Mark>>,
+    /// Software versions of streams when this voter began to lead; empty while it does not.
+    pub streams: Arc<Streams>,
     /// Host that sends the orders to replicas; empty before the first.
     pub holder: id::Host,
     /// Host that sent them before this voter led; `None` while it does not lead.
