software: tests of the decisions without network

Change: cases of take-ups over lists, leaders and time, a record that is not committed, and a release of three versions under which leaders change with records under way. Applying a record moves from the leader's state to its own.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -16,6 +16,8 @@
 mod queue;
 mod reachability;
 mod software;
+#[cfg(test)]
+mod software_tests;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/tanagershift/src/gateway/hub/software.rs
+++ b/crates/tanagershift/src/gateway/hub/software.rs
@@ -70,8 +70,8 @@
 /// Records that were proposed, and the grants that wait for them.
 #[derive(Debug)]
 pub struct Recorded {
-    software: Software,
-    grants: Vec<(JobNumber, Grant)>,
+    pub(super) software: Software,
+    pub(super) grants: Vec<(JobNumber, Grant)>,
     is_committed: bool,
 }
 
@@ -197,8 +197,21 @@
         !self.is_recording && (!self.held.is_empty() || !self.changed_baselines(now).is_empty())
     }
 
+    /// Applies a record at a time in milliseconds since 1970, unless it was not committed.
+    pub(super) fn apply(&mut self, recorded: &Recorded, is_committed: bool, at: u64) {
+        self.is_recording = false;
+        if !is_committed {
+            return;
+        }
+        self.streams.apply(&recorded.software, at);
+        for Baseline { service, software } in &recorded.software.baselines {
+            log::info!("event=software.baseline service={service} software={software}");
+            self.absent_since.remove(service);
+        }
+    }
+
     /// Takes what must be replicated now; `None` if nothing must, or a record is under way.
-    fn take_due(&mut self, now: Instant) -> Option<Recorded> {
+    pub(super) fn take_due(&mut self, now: Instant) -> Option<Recorded> {
         if !self.is_due(now) {
             return None;
         }
@@ -246,16 +259,11 @@
     /// Grants the replicas of streams that are replicated now, and refuses the others. `leads` says
     /// whether this host certainly still leads.
     pub(super) fn apply_recorded(&mut self, recorded: Recorded, leads: bool, now: Instant) {
-        self.software.is_recording = false;
         let is_committed = recorded.is_committed && leads;
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at = since_epoch.unwrap_or_default().as_millis() as u64;
+        self.software.apply(&recorded, is_committed, at);
         if is_committed {
-            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-            let at = since_epoch.unwrap_or_default().as_millis() as u64;
-            self.software.streams.apply(&recorded.software, at);
-            for Baseline { service, software } in &recorded.software.baselines {
-                log::info!("event=software.baseline service={service} software={software}");
-                self.software.absent_since.remove(service);
-            }
             if !recorded.software.baselines.is_empty() {
                 let baselines = self.software.streams.baselines().collect();
                 self.broadcast(&Notice {
