quarantine, software: settings and metrics, evidence against one key apart

Change: settings quarantine-pause and take-up-margin; recorded_streams and refused_take_ups; suspect.rs holds what is held against one key. Streams are kept a minute longer than they can be taken up. The version that a resumption needs is optional on the wire. Last-Event-Id: 0 takes nothing up.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -134,9 +134,9 @@
         part_ids,
         digest,
         is_resumable: job.route.resumable,
-        continues: job.head.resume_after.is_some(),
+        continues: job.head.continues_stream(),
         resumes: job.head.resumes.clone().unwrap_or_default(),
-        software: resumption.software.clone().unwrap_or_default(),
+        software: resumption.software.clone(),
     }
 }
 
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -39,6 +39,13 @@
     pub resumes: Option<String>,
 }
 
+impl RequestHead {
+    /// Whether the caller takes up a stream that broke off after an event.
+    pub fn continues_stream(&self) -> bool {
+        self.resume_after.is_some_and(|after| after > 0)
+    }
+}
+
 /// Values of the headers that the system adds to a request for a replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AddedHeaders {
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -44,7 +44,10 @@
         self.placement.record_demand(&[demand], now);
         let required = match self.required_software(&ask, now) {
             Ok(required) => required,
-            Err(refusal) => return refuse_take_up(&ask, refusal, responder),
+            Err(refusal) => {
+                self.software.count_refusal();
+                return refuse_take_up(&ask, refusal, responder);
+            }
         };
         let patience = Duration::from_millis(ask.give_up_ms);
         let wait = self.placement.load_wait(wanted, self.orders_from, now);
--- a/crates/tanagershift/src/gateway/hub/software.rs
+++ b/crates/tanagershift/src/gateway/hub/software.rs
@@ -29,8 +29,8 @@
 
 /// Time limit for the answer to a record, including the search for the leader.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
-/// Added to the longest time for which a stream may be taken up, since clients and clocks differ.
-const TAKE_UP_MARGIN: Duration = Duration::from_secs(10);
+/// Step of the time of day that forgets no stream too early.
+const CLOCK_STEP: Duration = Duration::from_secs(60);
 /// Longest time for which a stream may be taken up, if no configuration says it.
 const DEFAULT_TAKE_UP_TIME: Duration = Duration::from_secs(60);
 
@@ -58,6 +58,10 @@
     streams: Streams,
     /// Longest time for which a stream may be taken up.
     take_up_time: Duration,
+    /// Part of it after the longest timeout of a route, since clients and clocks differ.
+    margin: Duration,
+    /// Requests that were refused to go on with a stream, since the last record of metrics.
+    refused: u64,
     /// Since when no replica of the baseline is listed, by service.
     absent_since: BTreeMap<String, Instant>,
     /// Versions of the listed replicas, by service.
@@ -76,10 +80,12 @@
 }
 
 impl State {
-    pub(super) fn new(streams: &Streams) -> Self {
+    pub(super) fn new(streams: &Streams, margin: Duration) -> Self {
         Self {
             streams: streams.clone(),
             take_up_time: DEFAULT_TAKE_UP_TIME,
+            margin,
+            refused: 0,
             absent_since: BTreeMap::new(),
             listed: BTreeMap::new(),
             held: Vec::new(),
@@ -91,7 +97,7 @@
         let routes = configuration.routes();
         let streams = routes.filter(|route| route.kind == RouteKind::Stream);
         let longest = streams.map(|route| route.timeout).max();
-        self.take_up_time = longest.unwrap_or(DEFAULT_TAKE_UP_TIME) + TAKE_UP_MARGIN;
+        self.take_up_time = longest.unwrap_or(DEFAULT_TAKE_UP_TIME) + self.margin;
     }
 
     /// Replaces the versions of the listed replicas, each given with its service.
@@ -123,8 +129,8 @@
     ///
     /// The version that began the stream cannot be known.
     pub(super) fn required(&self, ask: &Ask) -> Result<Option<id::Software>, Refusal> {
-        if !ask.software.is_empty() {
-            return Ok(Some(ask.software.clone()));
+        if ask.software.is_some() {
+            return Ok(ask.software.clone());
         }
         if !ask.is_resumable || !ask.continues {
             return Ok(None);
@@ -192,6 +198,11 @@
         most.collect()
     }
 
+    /// Counts a request that was refused to go on with a stream.
+    pub(super) fn count_refusal(&mut self) {
+        self.refused += 1;
+    }
+
     /// Whether something waits to be replicated.
     pub(super) fn is_due(&self, now: Instant) -> bool {
         !self.is_recording && (!self.held.is_empty() || !self.changed_baselines(now).is_empty())
@@ -226,7 +237,7 @@
             software: Software {
                 baselines,
                 streams,
-                keep_ms: self.take_up_time.as_millis() as u64,
+                keep_ms: (self.take_up_time + CLOCK_STEP).as_millis() as u64,
             },
             grants,
             is_committed: false,
@@ -242,6 +253,10 @@
         inputs: &mpsc::Sender<Input>,
         now: Instant,
     ) {
+        let refused = std::mem::take(&mut self.software.refused);
+        gateway.metrics.refused_take_ups.inc_by(refused);
+        let recorded_streams = self.recorded_streams() as i64;
+        gateway.metrics.recorded_streams.set(recorded_streams);
         let Some(mut recorded) = self.software.take_due(now) else {
             return;
         };
--- a/crates/tanagershift/src/gateway/hub/software_tests.rs
+++ b/crates/tanagershift/src/gateway/hub/software_tests.rs
@@ -19,6 +19,7 @@
 };
 
 const SERVICE: &str = "llm";
+const MARGIN: Duration = Duration::from_secs(10);
 
 /// A request that continues the stream of another one, or of itself for an empty name.
 fn take_up(resumes: &str) -> Ask {
@@ -44,7 +45,7 @@
     fn new(listed: &[&str]) -> Self {
         let mut group = Self {
             log: state::State::default(),
-            leader: State::new(&Streams::default()),
+            leader: State::new(&Streams::default(), MARGIN),
             now: Instant::now(),
             listed: Vec::new(),
         };
@@ -66,7 +67,7 @@
     /// Another leader takes over, which knows what is in the log.
     fn change_leader(&mut self) {
         self.log = state::State::decode(self.log.encode()).unwrap();
-        self.leader = State::new(self.log.streams());
+        self.leader = State::new(self.log.streams(), MARGIN);
         self.apply_list();
     }
 
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -438,9 +438,9 @@
     /// Request whose answer began that stream; empty if the caller does not name it.
     #[prost(string, tag = "19")]
     pub resumes: String,
-    /// Software version that has begun the answer to this request; empty before its first event.
-    #[prost(string, tag = "20")]
-    pub software: String,
+    /// Software version that has begun the answer to this request; absent before its first event.
+    #[prost(string, optional, tag = "20")]
+    pub software: Option<String>,
 }
 
 impl Ask {
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -60,6 +60,11 @@
     pub suspected_requests: Gauge,
     /// Requests that crash replicas.
     pub convicted_requests: Gauge,
+    /// Streams whose software version is recorded, on the leader's host.
+    pub recorded_streams: Gauge,
+    /// Streams that callers could not take up since no replica of their software version serves or the
+    /// version is not known, on the leader's host.
+    pub refused_take_ups: Counter,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
     /// Requests of callers that are currently open.
@@ -90,6 +95,8 @@
             convicted_parts: Gauge::default(),
             suspected_requests: Gauge::default(),
             convicted_requests: Gauge::default(),
+            recorded_streams: Gauge::default(),
+            refused_take_ups: Counter::default(),
             list_reads: Counter::default(),
             open: Gauge::default(),
             version: Gauge::default(),
@@ -144,6 +151,11 @@
         let help = "Requests that crash replicas";
         let convicted = self.convicted_requests.clone();
         registry.register("convicted_requests", help, convicted);
+        let help = "Streams whose software version is recorded";
+        registry.register("recorded_streams", help, self.recorded_streams.clone());
+        let help = "Streams that could not be taken up at their software version";
+        let refused = self.refused_take_ups.clone();
+        registry.register("refused_take_ups", help, refused);
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
--- a/crates/tanagershift/src/gateway/quarantine/ledger.rs
+++ b/crates/tanagershift/src/gateway/quarantine/ledger.rs
@@ -8,7 +8,10 @@
 
 use tokio::time::Instant;
 
-use super::CLEARING_WINDOW;
+use super::{
+    CLEARING_WINDOW,
+    suspect::{Crash, SETTLING_TIME, Suspect, Trial},
+};
 use crate::{
     emit,
     gateway::{
@@ -19,12 +22,6 @@
     voter::command::{Key, Mark},
 };
 
-/// Crashes within this time of each other may have a common cause: replicas that lose power together
-/// crash together, whatever they run.
-const COMMON_CAUSE_SPAN: Duration = Duration::from_millis(100);
-/// Multiple of the configured crashes that convicts a part although other parts of the same requests
-/// may be the cause.
-const AMBIGUOUS_FACTOR: u32 = 2;
 /// Time after a sound answer in which its keys are not convicted.
 const PROVEN_TTL: Duration = Duration::from_secs(60);
 /// Number of keys that are remembered as sound; the one that was sound longest ago is forgotten.
@@ -35,16 +32,6 @@
 const SUSPECTS_KEPT: usize = 3072;
 /// Time without a further crash after which a suspicion is dropped.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
-/// Time after the end of a trial in which its outcome is reported; no other trial begins in it. It
-/// doubles with each trial that ends without an outcome.
-const SETTLING_TIME: Duration = Duration::from_millis(300);
-/// Number of times that [`SETTLING_TIME`] doubles at most.
-const MAX_SETTLING_DOUBLINGS: u32 = 5;
-/// Number of different times at which a request must have crashed replicas to be convicted.
-const MIN_CRASH_TIMES: u32 = 2;
-/// Time after a crash in which a request that alone had begun on that replica is not tried again. By
-/// then the replica is usually back, so that a small service does not lose all of its replicas.
-const SOLE_SUSPECT_PAUSE: Duration = Duration::from_secs(4);
 /// Time for which the requests that had begun on a crashed replica are remembered.
 const CRASH_TTL: Duration = Duration::from_secs(30);
 
@@ -54,12 +41,16 @@
     /// Crashes with no sound answer in between that convict a part, if they were at different times,
     /// or a request.
     pub conviction_crashes: u32,
+    /// Time after a crash in which a request that alone had begun on that replica is not tried again.
+    /// By then the replica is usually back, so that a small service does not lose all its replicas.
+    pub sole_suspect_pause: Duration,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
             conviction_crashes: 3,
+            sole_suspect_pause: Duration::from_secs(4),
         }
     }
 }
@@ -78,119 +69,6 @@
     Barred,
 }
 
-/// Evidence against one key.
-#[derive(Clone, Debug)]
-struct Suspect {
-    crashes: u32,
-    /// Crashes by request, for a part.
-    crashes_by_request: BTreeMap<id::RequestDigest, u32>,
-    /// Number of different times of the crashes, for a request.
-    crash_times: u32,
-    convicted: bool,
-    last_crash: Instant,
-    /// The replica that crashed last; empty for a restored suspicion.
-    last_replica: id::Upstream,
-    /// Crashes before this time are counted already, by an earlier leader.
-    counted_until: Option<Instant>,
-    /// Crashes on requests that had no other part which is not known to be sound.
-    sole_crashes: u32,
-    /// Runs of replicas that crashed on it.
-    replicas: BTreeSet<id::Upstream>,
-    /// Services of these replicas that have not answered such a request soundly since.
-    services: BTreeSet<String>,
-    /// Keys that every accused request with this key had; `None` for a restored suspicion.
-    companions: Option<Arc<BTreeSet<Key>>>,
-    trial: Option<Trial>,
-}
-
-/// A crash that is held against one key.
-#[derive(Clone, Copy, Debug)]
-struct Crash<'a> {
-    accusation: &'a Accusation,
-    /// Whether the request had no more than one part that is not known to be sound.
-    is_sole: bool,
-    at: Instant,
-}
-
-impl Suspect {
-    /// Counts a crash; false if it adds nothing to the evidence.
-    fn count(&mut self, key: Key, crash: &Crash<'_>) -> bool {
-        let accusation = crash.accusation;
-        let is_known = self.counted_until.is_some_and(|until| crash.at < until);
-        if is_known || !self.replicas.insert(accusation.upstream.clone()) {
-            return false;
-        }
-        self.services.insert(accusation.service.clone());
-        if let Some(trial) = &mut self.trial {
-            trial.unresolved = 0;
-        }
-        let is_apart = self.crashes == 0
-            || crash.at.saturating_duration_since(self.last_crash) > COMMON_CAUSE_SPAN
-            || self.last_crash.saturating_duration_since(crash.at) > COMMON_CAUSE_SPAN;
-        if !key.is_request() && !is_apart {
-            return false;
-        }
-        self.crashes += 1;
-        self.crash_times += u32::from(is_apart);
-        self.sole_crashes += u32::from(crash.is_sole);
-        if let (Key::Part(_), Some(digest)) = (key, accusation.digest) {
-            *self.crashes_by_request.entry(digest).or_default() += 1;
-        }
-        if crash.at >= self.last_crash {
-            self.last_crash = crash.at;
-            self.last_replica.clone_from(&accusation.upstream);
-        }
-        true
-    }
-
-    /// Whether the evidence convicts.
-    fn is_guilty(&self, key: Key, config: &Config) -> bool {
-        let needed = config.conviction_crashes;
-        match key {
-            // Replicas that run one request and crash at the same time may have lost power.
-            Key::Request(_) => {
-                self.crashes >= needed && self.crash_times >= MIN_CRASH_TIMES.min(needed)
-            }
-            // The crashes of one request count once: the request itself may be the cause.
-            Key::Part(_) => {
-                let repeated = self.crashes_by_request.values().max();
-                let crashes = self.crashes - repeated.map_or(0, |count| count - 1);
-                match self.sole_crashes {
-                    0 => crashes >= needed * AMBIGUOUS_FACTOR,
-                    _ => crashes >= needed,
-                }
-            }
-        }
-    }
-}
-
-/// The last request with a suspected key that was sent to a replica.
-#[derive(Clone, Debug)]
-struct Trial {
-    number: JobNumber,
-    /// Empty if the gateway selected it.
-    replica: id::Upstream,
-    ended_at: Option<Instant>,
-    /// Earlier trials in a row that showed nothing.
-    unresolved: u32,
-}
-
-impl Trial {
-    /// Whether the request ran on a replica until about the time at which that crashed.
-    fn ran_until(&self, replica: &str, crashed_at: Instant) -> bool {
-        let ended_before = self
-            .ended_at
-            .is_some_and(|ended_at| ended_at + SETTLING_TIME < crashed_at);
-        self.replica == replica && !ended_before
-    }
-
-    /// Time until which no other trial may begin; `None` while this one runs.
-    fn settled_at(&self) -> Option<Instant> {
-        let doublings = self.unresolved.min(MAX_SETTLING_DOUBLINGS);
-        Some(self.ended_at? + SETTLING_TIME * 2_u32.pow(doublings))
-    }
-}
-
 /// Suspected and convicted keys.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -474,7 +352,7 @@
     fn held_until(&self, key: Key, suspect: &Suspect) -> Option<Instant> {
         let paused_until = match key {
             Key::Request(_) if self.is_sole_suspect(suspect) => {
-                suspect.last_crash + SOLE_SUSPECT_PAUSE
+                suspect.last_crash + self.config.sole_suspect_pause
             }
             _ => suspect.last_crash,
         };
--- a/crates/tanagershift/src/gateway/quarantine/mod.rs
+++ b/crates/tanagershift/src/gateway/quarantine/mod.rs
@@ -10,6 +10,7 @@
 //! request is written.
 //!
 //! * `ledger`: the leader's evidence and its rulings.
+//! * `suspect`: the evidence against one key.
 //! * `register`: a gateway's copy, and what it has seen itself.
 //! * `digest`: tells requests that come again from new ones.
 //! * `report`: finds out whether a replica has crashed, and reports it.
@@ -18,6 +19,7 @@
 mod ledger;
 mod register;
 mod report;
+mod suspect;
 #[cfg(test)]
 mod tests;
 
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -123,9 +123,9 @@
         return Ok(resumption.software.clone());
     }
     let view = gateway.view();
-    let software = match job.head.resume_after {
-        Some(_) => view.take_up_software(&job.service),
-        None => view.begin_software(&job.service),
+    let software = match job.head.continues_stream() {
+        true => view.take_up_software(&job.service),
+        false => view.begin_software(&job.service),
     };
     let reason = "the software version of the stream is not known without a leader";
     match software {
--- a/crates/tanagershift/src/gateway/settings.rs
+++ b/crates/tanagershift/src/gateway/settings.rs
@@ -28,8 +28,10 @@
     pub lease: Duration,
     /// Budget of retries that the platform allows.
     pub budget: retry_budget::Config,
-    /// Limits on requests with prompt parts that crash replicas.
+    /// Limits on requests that crash replicas.
     pub quarantine: quarantine::Config,
+    /// Time for which a stream can be taken up after the longest timeout of a route.
+    pub take_up_margin: Duration,
 }
 
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
@@ -66,6 +68,7 @@
             lease: Duration::from_secs(3),
             budget: retry_budget::Config::default(),
             quarantine: quarantine::Config::default(),
+            take_up_margin: Duration::from_secs(10),
         };
         section.read("list-rate", &mut config.list_calls_per_second, parse_number)?;
         section.read("list-interval", &mut config.list_interval, ini::duration)?;
@@ -79,6 +82,9 @@
             Ok(crashes) if crashes > 0 => Ok(crashes),
             _ => Err(format!("`{text}` is not a number of at least 1")),
         })?;
+        let pause = &mut config.quarantine.sole_suspect_pause;
+        section.read("quarantine-pause", pause, ini::duration)?;
+        section.read("take-up-margin", &mut config.take_up_margin, ini::duration)?;
         if config.list_calls_per_second < 1.0 {
             return Err(section.error("list-rate", None, "must be at least 1"));
         }
