--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's part of the gateway: reads the platform's list of upstreams, places adapters,
 //! assigns requests to replicas, and notifies all gateways of changes.
 //!
+//! * `actions`: sends the orders of the placement.
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
 //! * `queue`: queues gateways' requests for a replica and answers them.
 //! * `limits`: spreads upstreams' limits, and hands out permits.
@@ -9,6 +10,7 @@
 //! * `quarantine`: rules on suspected requests, spreads and replicates the marks.
 //! * `software`: lets streams go on at the software version that began them.
 
+mod actions;
 mod configuration_history;
 mod limits;
 mod notices;
@@ -31,15 +33,15 @@
     time::{Instant, sleep_until},
 };
 
+use actions::carry_out;
 use configuration_history::ConfigurationHistory;
 use reachability::Checks;
 
 use super::{
     Gateway,
-    dialect::{Order, OrderOutcome, Report},
+    dialect::{OrderOutcome, Report},
     limit::Limits,
     message::{Ask, Counts, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
-    orders,
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
@@ -482,60 +484,3 @@
         state.next_tick = (now + TICK_INTERVAL).max(ended + pause);
     }
 }
-
-fn carry_out(
-    gateway: &Arc<Gateway>,
-    voter_status: &SharedStatus,
-    inputs: &mpsc::Sender<Input>,
-    state: &LeaderState,
-    action: Action,
-) {
-    let term = state.term;
-    let inputs = inputs.clone();
-    let gateway = gateway.clone();
-    let find = |name: &str| {
-        let replica = state.placement.replicas().get(name);
-        replica.map(|replica| replica.upstream.clone())
-    };
-    match action {
-        Action::Report { replica } => {
-            let Some(upstream) = find(&replica) else {
-                return;
-            };
-            tokio::spawn(async move {
-                let report = orders::fetch_report(gateway, upstream).await;
-                // Fails only while the process ends, since the hub runs until then.
-                let _ = inputs.send(Input::Reported(term, replica, report)).await;
-            });
-        }
-        Action::Order {
-            replica,
-            number,
-            operation,
-            adapter,
-            version,
-            expect,
-        } => {
-            let Some(upstream) = find(&replica) else {
-                return;
-            };
-            let order = Order {
-                operation,
-                adapter,
-                version,
-                expect,
-                holder: gateway.host.clone(),
-                epoch: term,
-                instance: upstream.instance.clone(),
-            };
-            let voter_status = voter_status.clone();
-            tokio::spawn(async move {
-                let outcome = orders::send(gateway, voter_status, upstream, order).await;
-                // Fails only while the process ends, since the hub runs until then.
-                let _ = inputs
-                    .send(Input::Ordered(term, replica, number, outcome))
-                    .await;
-            });
-        }
-    }
-}
