--- a/crates/tanagershift/src/gateway/quarantine/ledger.rs
+++ b/crates/tanagershift/src/gateway/quarantine/ledger.rs
@@ -132,10 +132,10 @@
             at: crashed_at,
         };
         let companions = Arc::new(keys.clone());
+        // The request comes first: once it is convicted, its parts are not accused.
         let request = accusation.digest.map(Key::Request);
-        if let Some(request) = request.filter(|request| keys.remove(request)) {
+        if let Some(request) = request.filter(|request| keys.contains(request)) {
             self.record_crash(request, &crash, Some(&companions));
-            keys.insert(request);
             self.keep_convicted(&mut keys);
             keys.remove(&request);
         }
