gateway: bodies that arrive grow by segments, not by doubling

Once large buffers have been freed, a buffer that doubles is no longer mapped by itself, and the copies leave gaps in the heap. A host that has run for a while therefore needs three to four times the 32 MB that all bodies may take together.

Change: body_buffer keeps a body in segments of one size and joins them at its end.

--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -1,7 +1,7 @@
 //! Handles a caller's request: finds its route, selects an upstream, sends the request, retries it
 //! where that is allowed, and relays the response.
 
-use std::sync::{Arc, atomic::Ordering::Relaxed};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -15,6 +15,7 @@
 
 use super::{
     Gateway,
+    body_buffer::Buffer,
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{FailedAttempt, Job, Resumption, UpstreamResponse, exchange},
     quarantine::{
@@ -297,24 +298,16 @@
     mut upstream_response: UpstreamResponse,
 ) -> Result<Response<Body>, FailedAttempt> {
     let mut response = response_without_body(gateway, &upstream_response);
-    let limit = MAX_RESPONSE_BYTES;
     let read = async {
-        let mut bytes = bytes::BytesMut::new();
-        let mut buffered = BufferedBytes::new(gateway);
+        let mut buffer = Buffer::new(&gateway.buffered_bytes);
         while let Some(frame) = upstream_response.body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
             if let Some(data) = frame.data_ref() {
-                if !buffered.grow(data.len()) {
-                    return Err("the answers in memory are too large".to_owned());
-                }
+                buffer.push(data)?;
                 upstream_response.progress.record_event(Instant::now());
-                bytes.extend_from_slice(data);
-            }
-            if bytes.len() > limit {
-                return Err("the answer is too large".to_owned());
             }
         }
-        Ok::<Bytes, String>(bytes.freeze())
+        Ok::<Bytes, String>(buffer.into_bytes())
     };
     let body = match timeout_at(job.deadline, read).await {
         Ok(Ok(body)) => body,
@@ -343,36 +336,6 @@
     Ok(response)
 }
 
-/// Largest body of a response that is not a stream.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
-/// Most bytes of all such bodies together that are held while they arrive.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-
-/// Counts the bytes of one body towards those of all bodies that are arriving, until dropped.
-struct BufferedBytes<'a> {
-    gateway: &'a Gateway,
-    count: usize,
-}
-
-impl<'a> BufferedBytes<'a> {
-    fn new(gateway: &'a Gateway) -> Self {
-        Self { gateway, count: 0 }
-    }
-
-    /// Counts more bytes; false if all bodies together are too large.
-    fn grow(&mut self, count: usize) -> bool {
-        let before = self.gateway.buffered_bytes.fetch_add(count, Relaxed);
-        self.count += count;
-        before + count <= MAX_BUFFERED_BYTES
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        self.gateway.buffered_bytes.fetch_sub(self.count, Relaxed);
-    }
-}
-
 fn response_without_body(
     gateway: &Gateway,
     upstream_response: &UpstreamResponse,
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -15,12 +15,14 @@
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `limit`: request rates that upstreams in need have named.
 //! * `upstream_list`: reads the list page by page.
+//! * `body_buffer`: bodies of responses while they arrive.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
 
 pub mod ask;
 pub mod background;
+pub mod body_buffer;
 pub mod choose;
 pub mod client;
 pub mod compression;
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -1,12 +1,16 @@
-//! Unit tests of event splitting, compression and patches of configurations, routes, the retry
+//! Unit tests of bodies that arrive, event splitting, compression and patches of configurations, routes, the retry
 //! budget and the selection of upstreams.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicUsize, Ordering::Relaxed},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::time::Instant;
 
 use super::{
+    body_buffer::Buffer,
     choose::{Choice, Requirements, choose},
     configuration::{Configuration, ConfigurationError, Limits, Route, RouteKind, Service, Target},
     event_stream::EventSplitter,
@@ -18,6 +22,34 @@
 };
 use crate::{admission::Origin, testing::cases};
 
+fn check_body(pieces: &[usize], held_elsewhere: usize, is_taken: bool) {
+    let total = AtomicUsize::new(held_elsewhere);
+    let mut buffer = Buffer::new(&total);
+    let mut expected = Vec::new();
+    let mut taken = true;
+    for (number, length) in pieces.iter().enumerate() {
+        let piece = vec![number as u8; *length];
+        taken &= buffer.push(&piece).is_ok();
+        expected.extend(piece);
+    }
+    assert_eq!(taken, is_taken);
+    if taken {
+        assert_eq!(buffer.into_bytes(), expected);
+    } else {
+        drop(buffer);
+    }
+    assert_eq!(total.load(Relaxed), held_elsewhere);
+}
+
+cases! { check_body {
+    no_piece_is_an_empty_body: (&[], 0, true);
+    a_piece_is_kept_whole: (&[800], 0, true);
+    pieces_of_all_sizes_are_kept_in_order: (&[1, 0, 70_000, 3, 65_536, 200_000], 0, true);
+    a_body_of_the_largest_size_is_kept: (&[16 << 20, 16 << 20], 0, true);
+    a_larger_body_is_refused: (&[32 << 20, 1], 0, false);
+    a_body_for_which_others_leave_no_room_is_refused: (&[800], 32 << 20, false);
+}}
+
 fn check_split(pieces: &[&str], expected: &[&str], last_id: Option<u64>, partial: &str) {
     let mut splitter = EventSplitter::default();
     let events: Vec<Bytes> = pieces
