software: without a leader, streams begin only at listed runs of replicas

Cause: a host that was stopped selects an upstream by the list that it had before. The replica may have started again as another version since, under the same identity. The stream was not recorded, since the list showed the baseline there. Requests that the leader assigns were safe, as the leader's list is current.

Change: a connection does not outlive the run of a replica, so it tells whether the listed run is meant. Streams that can be taken up, and that the gateway sends without the leader, go only over connections that were opened at most a second after the list was last known to be current; otherwise the next upstream is selected, or the stream refused as not run. New: event software.unconfirmed, counter unconfirmed_runs.

--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -57,6 +57,10 @@
     /// The request, or a part of its prompt, may crash replicas; nothing was sent.
     #[snafu(display("{}", super::quarantine::SUSPECTED_REASON))]
     Quarantined,
+    /// The upstream may have started again since it was listed, perhaps with other software; nothing
+    /// was sent.
+    #[snafu(display("the upstream may not be the listed run"))]
+    Unconfirmed,
     /// The connection was closed before the request was written.
     #[snafu(display("connection was closed before the request was sent"))]
     Unsent,
@@ -72,9 +76,11 @@
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } | Self::Withheld | Self::Quarantined | Self::Unsent => {
-                Verdict::NotRun
-            }
+            Self::Connect { .. }
+            | Self::Withheld
+            | Self::Quarantined
+            | Self::Unconfirmed
+            | Self::Unsent => Verdict::NotRun,
             Self::Broken { .. } => Verdict::MayHaveRun,
         }
     }
@@ -114,6 +120,7 @@
     sender: SendRequest<Body>,
     /// Whether the connection has carried a request before.
     used: bool,
+    opened_at: Instant,
 }
 
 impl Connection {
@@ -140,6 +147,7 @@
             address: address.to_owned(),
             sender,
             used: false,
+            opened_at: Instant::now(),
         })
     }
 
@@ -149,6 +157,11 @@
         self.used
     }
 
+    /// When the connection was opened. The upstream has not started again since.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -246,7 +246,7 @@
             gateway.tally_wanted.notify_one();
         }
         Error::Unsent | Error::Broken { .. } => view.record_failure(upstream, now),
-        Error::Withheld | Error::Quarantined => {}
+        Error::Withheld | Error::Quarantined | Error::Unconfirmed => {}
     }
 }
 
@@ -281,6 +281,14 @@
         {
             return Err(Error::Quarantined);
         }
+        // The list says which software runs on an upstream.
+        let is_listed_run = gateway.view().confirms_run(connection.opened_at());
+        if job.route.resumable && !clearance.is_assigned && !is_listed_run {
+            let (request, name) = (&job.head.id, &upstream.name);
+            log::info!("event=software.unconfirmed request={request} upstream={name}");
+            gateway.metrics.unconfirmed_runs.inc();
+            return Err(Error::Unconfirmed);
+        }
         // The leader has counted the requests that it assigned.
         let now = Instant::now();
         if !clearance.is_assigned && !gateway.view().limits.take(&upstream.name, now) {
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -65,6 +65,8 @@
     /// Streams that callers could not take up since no replica of their software version serves or the
     /// version is not known, on the leader's host.
     pub refused_take_ups: Counter,
+    /// Streams that were not sent to an upstream which may have started again since it was listed.
+    pub unconfirmed_runs: Counter,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
     /// Requests of callers that are currently open.
@@ -97,6 +99,7 @@
             convicted_requests: Gauge::default(),
             recorded_streams: Gauge::default(),
             refused_take_ups: Counter::default(),
+            unconfirmed_runs: Counter::default(),
             list_reads: Counter::default(),
             open: Gauge::default(),
             version: Gauge::default(),
@@ -156,6 +159,9 @@
         let help = "Streams that could not be taken up at their software version";
         let refused = self.refused_take_ups.clone();
         registry.register("refused_take_ups", help, refused);
+        let help = "Streams withheld from upstreams that may have started again unlisted";
+        let unconfirmed = self.unconfirmed_runs.clone();
+        registry.register("unconfirmed_runs", help, unconfirmed);
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -474,4 +474,26 @@
         view.apply(&notice, now);
         assert_eq!(selected(&view, &[], now).unwrap().0, "r2");
     }
+
+    fn check_run(list_at_ms: Option<u64>, opened_at_ms: u64, expected: bool) {
+        let began = Instant::now();
+        let mut view = View::new(Duration::from_secs(5));
+        if let Some(at) = list_at_ms {
+            let list = List {
+                number: 1,
+                upstreams: Vec::new(),
+            };
+            view.apply_list(&list, began);
+            view.apply(&Notice::default(), began + Duration::from_millis(at));
+        }
+        let opened_at = began + Duration::from_millis(opened_at_ms);
+        assert_eq!(view.confirms_run(opened_at), expected);
+    }
+
+    cases! { check_run {
+        a_connection_from_before_the_last_notice_leads_to_the_listed_run: (Some(2000), 500, true);
+        a_connection_from_shortly_after_it_does_too: (Some(2000), 2900, true);
+        a_later_one_may_lead_to_a_run_that_is_not_listed_yet: (Some(2000), 3100, false);
+        without_a_list_no_run_is_known: (None, 0, false);
+    }}
 }
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -31,6 +31,8 @@
 /// Time for which a residency is ignored after the replica reported the adapter as not loaded. The
 /// next tally informs the leader, which then corrects the residency.
 const MISSING_TTL: Duration = Duration::from_millis(1500);
+/// Age of the list up to which a listed upstream cannot have started again: that takes longer.
+const RESTART_TIME: Duration = Duration::from_millis(1000);
 /// Age above which the load that an answer reported is ignored.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(500);
 
@@ -105,6 +107,8 @@
     /// Upstreams that accepted no connection since the previous tally.
     unreachable: BTreeSet<id::Upstream>,
     list_number: u64,
+    /// When the list was last known to be current; `None` before the first.
+    list_confirmed_at: Option<Instant>,
     /// Upstream names in the order of the list.
     list_order: Vec<id::Upstream>,
     upstreams: BTreeMap<id::Upstream, KnownUpstream>,
@@ -134,6 +138,10 @@
         if let Some(list) = &notice.list {
             self.apply_list(list, now);
         }
+        // The leader sends each change at once.
+        if self.has_list() {
+            self.list_confirmed_at = Some(now);
+        }
         if notice.is_snapshot {
             self.residencies.clear();
         }
@@ -187,6 +195,7 @@
             self.upstreams.insert(upstream.name.clone(), entry);
         }
         self.list_number = list.number;
+        self.list_confirmed_at = Some(now);
         self.list_order = list
             .upstreams
             .iter()
@@ -233,6 +242,12 @@
         self.list_number > 0
     }
 
+    /// Whether a connection that was opened at a time leads to the listed run of its upstream.
+    pub fn confirms_run(&self, opened_at: Instant) -> bool {
+        let confirmed_at = self.list_confirmed_at;
+        confirmed_at.is_some_and(|at| opened_at < at + RESTART_TIME)
+    }
+
     /// Returns the upstream with this name; `None` if it is not listed.
     pub fn upstream(&self, name: &str) -> Option<Arc<Upstream>> {
         let known = self.upstreams.get(name)?;
