scheduler: streams that go on come before new ones of the same priority

Cause: a stream that is taken up may only run at the replicas of its version, a new one at all. Both were ordered by their objectives alone, so that new ones that had waited longer took the room of those replicas.

Change: of two requests of one priority that are both on time, or both late, the one that is bound to a software version is assigned first.

--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -57,6 +57,8 @@
 pub mod settings;
 pub mod signal;
 #[cfg(test)]
+mod take_up_tests;
+#[cfg(test)]
 mod tests;
 pub mod upstream_list;
 pub mod view;
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -275,7 +275,9 @@
             for job in jobs {
                 if !found.is_empty() {
                     let late = now > job.objective;
-                    let rank = (late, job.priority, job.objective, job.number);
+                    // Only some replicas can go on with a stream, and new ones may begin anywhere.
+                    let is_new = job.software.is_none();
+                    let rank = (late, job.priority, is_new, job.objective, job.number);
                     let busy = queue
                         .busy_since
                         .is_some_and(|since| now > since + MIN_BUSY_TIME);
@@ -296,9 +298,9 @@
             job.map_or(0, |job| ledger.suspected(&job.keys).count())
         };
         if !ledger.is_empty() {
-            ranked.sort_by_cached_key(|((_, _, _, number), _, _)| suspected(number));
+            ranked.sort_by_cached_key(|((.., number), _, _)| suspected(number));
         }
-        for ((_, _, _, number), found, late_and_busy) in ranked {
+        for ((.., number), found, late_and_busy) in ranked {
             let Some(job) = self.waiting.get(&number) else {
                 continue;
             };
