software: no stream begins without the leader that may have recorded it

Cause, traced in its logs: the leader assigned stream 20-30 to a replica of v2, recorded that, and was lost before its grant arrived. The gateway then began it by itself at the baseline, v1, without a record. The take-up found the record.

Change: a gateway that has asked a leader for a new stream, and selects a replica by itself afterwards, does so only while no other version than the baseline is listed. Otherwise it asks the next leader, and refuses the stream as not run after 1.5 s without one.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -51,6 +51,9 @@
     Refused(Rejection),
     /// No leader can be asked; the gateway decides for itself.
     NoLeader,
+    /// The leader was lost after it was asked. It may have recorded the software version at which it
+    /// wanted the stream to begin.
+    Unanswered,
 }
 
 /// Asks the leader to assign a replica to a job; `excluded` names the replicas that must not get it.
@@ -72,9 +75,9 @@
         match timeout(CHECK_INTERVAL, call.next()).await {
             Ok(Ok(Some(Body::Grant(grant)))) => return answer_from_grant(gateway, grant, call),
             // The other host no longer leads, or the connection was lost.
-            Ok(_) => return Answer::NoLeader,
+            Ok(_) => return Answer::Unanswered,
             Err(_) if !gateway.heard_leader_within(LEADER_SILENCE_LIMIT) => {
-                return Answer::NoLeader;
+                return Answer::Unanswered;
             }
             Err(_) => {}
         }
@@ -102,7 +105,7 @@
             }
         }
         // The upstream list that contains the replica has not arrived yet.
-        None => Answer::NoLeader,
+        None => Answer::Unanswered,
     }
 }
 
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -114,8 +114,11 @@
     pub verdict: Verdict,
     /// Whether the upstream received the request, even if it refused it.
     pub arrived: bool,
-    /// Whether the upstream was not tried, since the request or a part of its prompt may crash it.
+    /// Whether the upstream was not tried, since the request or a part of its prompt may crash it, or
+    /// since it may not be the listed run.
     pub withdrawn: bool,
+    /// Whether a current list is needed first.
+    pub needs_list: bool,
     /// Why the attempt failed.
     pub reason: String,
 }
@@ -214,7 +217,8 @@
             return Err(FailedAttempt {
                 verdict: error.verdict(),
                 arrived: error.verdict() != Verdict::NotRun,
-                withdrawn: matches!(error, Error::Quarantined),
+                withdrawn: matches!(error, Error::Quarantined | Error::Unconfirmed),
+                needs_list: matches!(error, Error::Unconfirmed),
                 reason: error.to_string(),
             });
         }
@@ -371,6 +375,7 @@
             verdict: Verdict::NotRun,
             arrived: true,
             withdrawn: false,
+            needs_list: false,
             reason,
         });
     }
@@ -403,6 +408,7 @@
             verdict: Verdict::MayHaveRun,
             arrived: true,
             withdrawn: false,
+            needs_list: false,
             reason,
         }
     }
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -23,7 +23,7 @@
         request_keys,
     },
     relay::{Body, Stream, StreamTiming},
-    select::select_upstream,
+    select::{await_current_list, select_upstream},
 };
 use crate::{entry::retry::may_repeat, verdict::Verdict};
 
@@ -114,6 +114,8 @@
     pub replica_wait: Duration,
     /// Why the last failed attempt failed; empty if none failed.
     pub last_failure: String,
+    /// Whether a leader may have recorded a software version at which the stream begins.
+    pub may_be_recorded: bool,
     /// Whether an attempt may have run. If so, a later refusal does not prove that the request did not
     /// run.
     pub may_have_run: bool,
@@ -384,6 +386,9 @@
         if failed.withdrawn {
             trace.tried.pop();
         }
+        if failed.needs_list && !await_current_list(gateway, job).await {
+            return Err(as_502_if_may_have_run(rejection(&failed), trace));
+        }
         trace.arrivals += u32::from(failed.arrived);
         trace.last_failure.clone_from(&failed.reason);
         trace.may_have_run |= failed.verdict != Verdict::NotRun;
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -16,6 +16,11 @@
 
 /// Longest wait for a change in adapter placement before an upstream is selected again.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
+/// Longest wait for another leader, which can say whether a stream is recorded. It covers an election.
+const LEADER_WAIT: Duration = Duration::from_millis(1500);
+/// Why a stream is refused that may have to run at one of several software versions.
+const UNKNOWN_SOFTWARE_REASON: &str =
+    "the software version of the stream is not known without a leader";
 
 /// Selects an upstream.
 ///
@@ -35,7 +40,7 @@
     let began = Instant::now();
     reject_convicted(gateway, gateway.quarantine().standing(&job.keys))?;
     if job.head.model.is_some() {
-        if let Some(selected) = ask_leader(gateway, job, resumption, trace).await? {
+        if let Some(selected) = ask_leaders(gateway, job, resumption, trace).await? {
             return Ok(selected);
         }
         if let Some(adapter) = &job.head.adapter {
@@ -109,6 +114,55 @@
     }
 }
 
+/// Asks the leader for a replica, and the next one if it is lost while only a leader can know whether the
+/// stream is recorded. Returns `None` if the gateway must select a replica itself.
+async fn ask_leaders(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    resumption: &Resumption,
+    trace: &mut Trace,
+) -> Result<Option<SelectedUpstream>, Rejection> {
+    let until = job.deadline.min(Instant::now() + LEADER_WAIT);
+    let mut notices = gateway.last_notice_at.subscribe();
+    loop {
+        notices.mark_unchanged();
+        if let Some(selected) = ask_leader(gateway, job, resumption, trace).await? {
+            return Ok(Some(selected));
+        }
+        let is_new = job.route.resumable && resumption.software.is_none();
+        let may_differ =
+            is_new && trace.may_be_recorded && gateway.view().has_other_software(&job.service);
+        if !may_differ {
+            return Ok(None);
+        }
+        // However the wait ends, the leader is asked again if there is time.
+        let _ = timeout_at(until, notices.changed()).await;
+        if Instant::now() >= until {
+            return Err(Rejection::retry_later(UNKNOWN_SOFTWARE_REASON));
+        }
+    }
+}
+
+/// Waits until the list is current, from a leader or by a reading of this gateway. Returns whether it is.
+pub async fn await_current_list(gateway: &Gateway, job: &Job) -> bool {
+    let until = job.deadline.min(Instant::now() + LEADER_WAIT);
+    let mut notices = gateway.last_notice_at.subscribe();
+    let mut changes = gateway.placement_changes.subscribe();
+    while !gateway.view().confirms_run(Instant::now()) {
+        let heard = async {
+            // Fail only while the process ends.
+            tokio::select! {
+                _ = notices.changed() => {}
+                _ = changes.changed() => {}
+            }
+        };
+        if timeout_at(until, heard).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 /// Software version that this gateway must select by itself for a stream; `None` if any will do.
 ///
 /// # Errors
@@ -127,10 +181,9 @@
         true => view.take_up_software(&job.service),
         false => view.begin_software(&job.service),
     };
-    let reason = "the software version of the stream is not known without a leader";
     match software {
         // Without a list the request waits for it, or is refused for that.
-        None if view.has_list() => Err(Rejection::retry_later(reason)),
+        None if view.has_list() => Err(Rejection::retry_later(UNKNOWN_SOFTWARE_REASON)),
         software => Ok(software),
     }
 }
@@ -152,7 +205,9 @@
         (Standing::Suspected, None) => match ask(gateway, job, &Resumption::default(), &[]).await {
             Answer::Allowed(call) => return Ok(Some(call)),
             Answer::Refused(rejection) => rejection,
-            Answer::Granted { .. } | Answer::NoLeader => Rejection::quarantined(standing),
+            Answer::Granted { .. } | Answer::NoLeader | Answer::Unanswered => {
+                Rejection::quarantined(standing)
+            }
         },
         // The leader assigns requests that name a model, and could not be asked.
         (Standing::Suspected, Some(_)) | (Standing::Convicted, _) => {
@@ -209,6 +264,7 @@
                     excluded.push(upstream.name.clone());
                     continue;
                 }
+                trace.may_be_recorded = true;
                 trace.replica_wait += began.elapsed();
                 gateway
                     .metrics
@@ -223,6 +279,10 @@
                 }));
             }
             Answer::Refused(rejection) => return Err(rejection),
+            Answer::Unanswered => {
+                trace.may_be_recorded = true;
+                return Ok(None);
+            }
             Answer::Allowed(_) | Answer::NoLeader => return Ok(None),
         }
     }
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -15,7 +15,7 @@
     configuration::{Configuration, ConfigurationError, Limits, Route, RouteKind, Service, Target},
     event_stream::EventSplitter,
     forward::find_route,
-    message::{Announcement, Counts, List, Notice, Residency, Upstream},
+    message::{Announcement, Baseline, Counts, List, Notice, Residency, Upstream},
     patch::Patch,
     retry_budget::{self, RetryBudget},
     view::View,
@@ -475,6 +475,47 @@
         assert_eq!(selected(&view, &[], now).unwrap().0, "r2");
     }
 
+    fn check_software(
+        listed: &[&str],
+        baseline: Option<&str>,
+        begins: Option<&str>,
+        taken_up: Option<&str>,
+        may_be_recorded: bool,
+    ) {
+        let entry = |(number, software): (usize, &&str)| Upstream {
+            software: (*software).to_owned(),
+            ..upstream(&format!("r{number}"), "a")
+        };
+        let list = List {
+            number: 1,
+            upstreams: listed.iter().enumerate().map(entry).collect(),
+        };
+        let baselines = baseline.into_iter().map(|software| Baseline {
+            service: "llm".to_owned(),
+            software: software.to_owned(),
+        });
+        let mut view = View::new(Duration::from_secs(5));
+        let notice = Notice {
+            list: Some(list),
+            baselines: baselines.collect(),
+            ..Notice::default()
+        };
+        view.apply(&notice, Instant::now());
+        assert_eq!(view.begin_software("llm").as_deref(), begins);
+        assert_eq!(view.take_up_software("llm").as_deref(), taken_up);
+        assert_eq!(view.has_other_software("llm"), may_be_recorded);
+    }
+
+    // What a gateway may do with a stream without a leader.
+    cases! { check_software {
+        one_version_serves: (&["v1", "v1"], Some("v1"), Some("v1"), Some("v1"), false);
+        two_versions_serve: (&["v1", "v2"], Some("v1"), Some("v1"), None, true);
+        the_baseline_has_left: (&["v2"], Some("v1"), Some("v2"), None, true);
+        two_versions_serve_after_the_baseline: (&["v2", "v3"], Some("v1"), None, None, true);
+        no_baseline_is_known: (&["v1"], None, Some("v1"), None, true);
+        no_replica_is_listed: (&[], Some("v1"), None, Some("v1"), false);
+    }}
+
     fn check_run(list_at_ms: Option<u64>, opened_at_ms: u64, expected: bool) {
         let began = Instant::now();
         let mut view = View::new(Duration::from_secs(5));
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -278,9 +278,15 @@
     /// it cannot be known.
     pub fn take_up_software(&self, service: &str) -> Option<id::Software> {
         let baseline = self.baselines.get(service)?;
+        (!self.has_other_software(service)).then(|| baseline.clone())
+    }
+
+    /// Whether an upstream of a service is listed at another software version than the baseline, so
+    /// that streams may be recorded.
+    pub fn has_other_software(&self, service: &str) -> bool {
+        let baseline = self.baselines.get(service);
         let mut listed = self.upstreams_of(service);
-        let is_only = listed.all(|known| known.upstream.software == *baseline);
-        is_only.then(|| baseline.clone())
+        listed.any(|known| Some(&known.upstream.software) != baseline)
     }
 
     /// Returns the version of an adapter that a replica has loaded; `None` if it has none, or if
