software: refuse streams at once when the last replica of their version leaves

Cause: whether replicas of the version serve was checked when the request for one arrived, not while it waited; it was refused only when its caller was about to give up.

Change: the leader refuses the waiting requests of a version with the decision that finds none of its replicas left.

--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -148,7 +148,7 @@
                 .unwrap_or(0),
             version,
         };
-        let (mut missing, mut tried) = (Vec::new(), Vec::new());
+        let (mut missing, mut tried, mut gone) = (Vec::new(), Vec::new(), Vec::new());
         let full = self.limits.full(now);
         let limits = &mut self.limits;
         let decisions =
@@ -162,6 +162,12 @@
                                 .as_ref()
                                 .is_none_or(|needed| needed == software)
                     };
+                    if let Some(software) = &group.software
+                        && !placement.serves_at(&group.service, &group.model, software, now)
+                    {
+                        gone.push(group.clone());
+                        return Rc::new([]);
+                    }
                     let Some(adapter) = &group.adapter else {
                         let holders = placement.holders(&group.model, now).filter(serves_group);
                         return holders.map(|one| candidate(one, None)).collect();
@@ -199,6 +205,12 @@
         for decision in decisions {
             self.apply_decision(decision, now);
         }
+        for group in gone {
+            for number in self.scheduler.waiting_in(&group) {
+                self.software.count_refusal();
+                self.refuse(number, software::Refusal::Gone.reason(), now);
+            }
+        }
     }
 
     pub(super) fn apply_decision(&mut self, decision: Decision, now: Instant) {
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -234,6 +234,12 @@
         load.map_or(0, |load| load.jobs.len() as u32)
     }
 
+    /// Waiting jobs of a group.
+    pub fn waiting_in(&self, group: &JobGroup) -> Vec<JobNumber> {
+        let queue = self.groups.get(group);
+        queue.map_or_else(Vec::new, |queue| queue.jobs.iter().copied().collect())
+    }
+
     /// Number of jobs that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
