entry: a call that ends two upstreams is not sent to a third

Cause: the end of an upstream looks like a broken connection, after which a safe call is sent to the next one, as long as the search for an upstream lasts.

Change: an upstream that accepts no connection after it has broken off has ended; after the second one the call is answered as may_have_run. One retry is kept for calls whose upstream ends for another reason. There is still no memory of such calls in the product's own interface.

--- a/crates/proofs/src/site.rs
+++ b/crates/proofs/src/site.rs
@@ -370,6 +370,15 @@
         self.signal(name, Signal::SIGCONT);
     }
 
+    /// Whether a process has ended.
+    pub fn has_ended(&mut self, name: &str) -> bool {
+        let child = self.processes.get_mut(name).expect("it was started");
+        child
+            .try_wait()
+            .expect("a child can be waited for")
+            .is_some()
+    }
+
     /// Asks a process to shut down.
     pub fn terminate(&self, name: &str) {
         self.signal(name, Signal::SIGTERM);
--- a/crates/proofs/tests/faults.rs
+++ b/crates/proofs/tests/faults.rs
@@ -31,6 +31,27 @@
     }
 }
 
+/// Guards against: a call that may be repeated ends one upstream after the other, since each end is
+/// taken for a broken connection (BUDGET).
+#[tokio::test]
+async fn a_call_that_ends_its_upstreams_reaches_two_of_them() {
+    let services = ["service1", "service2", "service3", "service4"];
+    let mut site = Site::start(Plan {
+        services: services.len(),
+        ..Plan::default()
+    })
+    .await;
+    for service in services {
+        site.fault(service, &["exit"]).await;
+    }
+    let headers = [("x-tanagershift-deadline-ms", "3000")];
+    let path = "/services/booking/charges";
+    let reply = site.send("entry1", Method::GET, path, &headers, "").await;
+    assert_eq!(verdict(&reply.unwrap()), "may_have_run");
+    let ended = services.map(|service| site.has_ended(service));
+    assert_eq!(ended.iter().filter(|ended| **ended).count(), 2, "{ended:?}");
+}
+
 #[tokio::test]
 async fn calls_of_a_plain_service_under_faults() {
     let site = Site::start(Plan::default()).await;
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -36,6 +36,8 @@
     LoadFails,
     /// Status 503 with the time of a pause, and no work done.
     Pause,
+    /// The process ends when it has begun the work.
+    Exit,
     /// This answer and all later ones announce that the upstream leaves.
     Leave,
 }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -103,6 +103,7 @@
             Fault::RefuseAfter,
             Fault::Hang,
             Fault::Pause,
+            Fault::Exit,
         ]);
         match fault {
             Some(Fault::CutBefore) => return Err(Cut),
@@ -134,6 +135,7 @@
             Some(Fault::CutAfter | Fault::CutDuring) => Err(Cut),
             Some(Fault::RefuseAfter) => Ok(http::json(503, &json!({ "error": "late" }))),
             Some(Fault::Hang) => std::future::pending().await,
+            Some(Fault::Exit) => std::process::exit(1),
             _ => Ok(http::json(200, &answer)),
         }
     }
--- a/crates/tanagershift/src/entry/service.rs
+++ b/crates/tanagershift/src/entry/service.rs
@@ -21,6 +21,7 @@
     admission::{LEAVING_HEADER, Origin, Signal},
     catalog::{check_name, hex},
     follower,
+    gateway::connection::is_gone,
     holder::engine::{self, REQUEST_ID_HEADER},
     verdict::Verdict,
     voter::command::{Answer, Claim, Claimed, Command, Effect, Order, Outcome, Settle, Standing},
@@ -33,6 +34,9 @@
 const REPLAYED_HEADER: &str = "x-tanagershift-replayed";
 /// Maximum length of an idempotency key in bytes.
 const KEY_MAX_LEN: usize = 255;
+/// Upstreams that may end while they run a call; it is not sent to another one then, since it may be
+/// what ends them.
+const MAX_ENDED_UPSTREAMS: u32 = 2;
 /// Maximum size of a response body of a plain service in bytes.
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 /// Maximum size of a recorded response body in bytes; a longer body is not kept.
@@ -191,6 +195,7 @@
     let mut first = true;
     let mut last_error = AttemptError::new(Verdict::NotRun, "no upstream of the service is live");
     let mut error_response = None;
+    let mut ended = 0;
     loop {
         let candidates = candidates(entry, target);
         if candidates.is_empty()
@@ -218,6 +223,7 @@
                     // Once an attempt may have run, the call may have run, even if a later attempt
                     // did not.
                     let may_have_run = last_error.verdict == Verdict::MayHaveRun;
+                    let ran = error.verdict == Verdict::MayHaveRun;
                     let repeat = may_repeat(error.verdict, idempotent, false);
                     last_error = error;
                     if may_have_run {
@@ -226,6 +232,10 @@
                     if !repeat {
                         return Err(last_error);
                     }
+                    ended += u32::from(ran && is_gone(&address).await);
+                    if ended >= MAX_ENDED_UPSTREAMS {
+                        return Err(last_error);
+                    }
                 }
             }
         }
