software: the next leader accepts no record of a lost one

Found by reading: a proposal goes to whoever leads, for a second. A leader that is lost after it has proposed a record of a stream may so have it appended by the next one, which has let the stream begin at the baseline meanwhile, and needed no record for that. A take-up is then sent to the recorded version (ORDER; the class of fault is that of two holders around a hand-over).

Change: a record names the term of the leader that has decided it, and a leader accepts only those of its own term. Records that an earlier leader has appended itself are known to the next one before it decides anything.

Measured: a_record_of_a_lost_leader_is_not_accepted_by_the_next_one: without the check the stream that began at v1 is taken up at v2; passes with it. No run of the real programs has shown the fault.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -387,7 +387,7 @@
             pauses: Pauses::default(),
             checks: Checks::default(),
             limits: Limits::default(),
-            software: software::State::new(&status.streams, self.config.take_up_margin),
+            software: software::State::new(term, &status.streams, self.config.take_up_margin),
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
             marks_differ: false,
--- a/crates/tanagershift/src/gateway/hub/software.rs
+++ b/crates/tanagershift/src/gateway/hub/software.rs
@@ -55,6 +55,8 @@
 /// What the leader knows and records of software versions.
 #[derive(Debug)]
 pub(super) struct State {
+    /// Term of the leader.
+    term: id::Term,
     streams: Streams,
     /// Longest time for which a stream may be taken up.
     take_up_time: Duration,
@@ -80,8 +82,9 @@
 }
 
 impl State {
-    pub(super) fn new(streams: &Streams, margin: Duration) -> Self {
+    pub(super) fn new(term: id::Term, streams: &Streams, margin: Duration) -> Self {
         Self {
+            term,
             streams: streams.clone(),
             take_up_time: DEFAULT_TAKE_UP_TIME,
             margin,
@@ -238,6 +241,7 @@
                 baselines,
                 streams,
                 keep_ms: (self.take_up_time + CLOCK_STEP).as_millis() as u64,
+                term: self.term,
             },
             grants,
             is_committed: false,
--- a/crates/tanagershift/src/gateway/hub/software_tests.rs
+++ b/crates/tanagershift/src/gateway/hub/software_tests.rs
@@ -13,7 +13,7 @@
     testing::{cases, for_seeds},
     voter::{
         command::{Command, Order},
-        software::Streams,
+        software::{Software, Streams},
         state,
     },
 };
@@ -37,6 +37,7 @@
 struct Group {
     log: state::State,
     leader: State,
+    term: id::Term,
     now: Instant,
     listed: Vec<id::Software>,
 }
@@ -45,7 +46,8 @@
     fn new(listed: &[&str]) -> Self {
         let mut group = Self {
             log: state::State::default(),
-            leader: State::new(&Streams::default(), MARGIN),
+            leader: State::new(1, &Streams::default(), MARGIN),
+            term: 1,
             now: Instant::now(),
             listed: Vec::new(),
         };
@@ -67,7 +69,8 @@
     /// Another leader takes over, which knows what is in the log.
     fn change_leader(&mut self) {
         self.log = state::State::decode(self.log.encode()).unwrap();
-        self.leader = State::new(self.log.streams(), MARGIN);
+        self.term += 1;
+        self.leader = State::new(self.term, self.log.streams(), MARGIN);
         self.apply_list();
     }
 
@@ -76,14 +79,24 @@
         let Some(recorded) = self.leader.take_due(self.now) else {
             return Vec::new();
         };
-        let mut command = Command::of(Order::Software(recorded.software.clone()));
-        command.at = 1;
-        self.log.apply(&command);
+        assert!(self.propose(&recorded.software));
         let granted = recorded.grants.iter().map(|(number, _)| *number).collect();
         self.leader.apply(&recorded, true, 1);
         granted
     }
 
+    /// Proposes a record to the leader; returns whether it is accepted.
+    fn propose(&mut self, software: &Software) -> bool {
+        let order = Order::Software(software.clone());
+        let is_accepted = order.is_valid_in(self.term);
+        if is_accepted {
+            let mut command = Command::of(order);
+            command.at = 1;
+            self.log.apply(&command);
+        }
+        is_accepted
+    }
+
     /// Begins a stream; true if it must be recorded before.
     fn begin(&mut self, request: &str, software: &str) -> bool {
         let grant = self
@@ -199,6 +212,22 @@
     assert_eq!(required, Ok(Some("v2".to_owned())), "nothing was committed");
 }
 
+/// Guards against: the record of a lost leader reaches the next one, which has begun the stream at
+/// another version meanwhile (ORDER).
+#[test]
+fn a_record_of_a_lost_leader_is_not_accepted_by_the_next_one() {
+    let mut group = Group::new(&["v1"]);
+    group.list(&["v1", "v2"]);
+    assert!(group.begin("a", "v2"));
+    let late = group.leader.take_due(group.now).unwrap();
+    group.change_leader();
+    assert!(!group.begin("a", "v1"), "the baseline needs no record");
+    assert!(!group.propose(&late.software));
+    group.change_leader();
+    let required = group.leader.required(&take_up("a"));
+    assert_eq!(required, Ok(Some("v1".to_owned())));
+}
+
 /// A release in which streams begin at three versions, break off and are taken up, while leaders change
 /// with records under way: no stream goes on at another version.
 #[test]
--- a/crates/tanagershift/src/voter/command.rs
+++ b/crates/tanagershift/src/voter/command.rs
@@ -486,6 +486,17 @@
     }
 }
 
+impl Order {
+    /// Whether the leader of a term may propose the order. What a leader has decided by its own state is
+    /// void once another one leads.
+    pub fn is_valid_in(&self, term: id::Term) -> bool {
+        match self {
+            Self::Software(software) => software.term == term,
+            _ => true,
+        }
+    }
+}
+
 impl Command {
     /// Creates a command; the leader sets the time when it proposes it.
     pub fn of(order: Order) -> Self {
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -632,6 +632,12 @@
             responder.finish_now(Body::Redirect(Redirect::default()));
             return;
         }
+        let term = self.node.term();
+        let order = command.order.as_ref();
+        if order.is_some_and(|order| !order.is_valid_in(term)) {
+            responder.finish_now(failure("another leader has proposed it"));
+            return;
+        }
         command.at = wall_clock_millis().max(self.state.latest_millis());
         if let Some(outcome) = self.state.known_outcome(&command) {
             responder.finish_now(Body::Outcome(outcome));
--- a/crates/tanagershift/src/voter/software.rs
+++ b/crates/tanagershift/src/voter/software.rs
@@ -26,6 +26,9 @@
     /// Milliseconds for which streams are kept from now on.
     #[prost(uint64, tag = "3")]
     pub keep_ms: u64,
+    /// Term of the leader that records them.
+    #[prost(uint64, tag = "4")]
+    pub term: u64,
 }
 
 /// Version that began all streams of a service that are not recorded.
