hub: numbers of requests are not used again when leadership is regained

Found by reading: a leader whose lease lapses and is renewed in one term begins anew, with requests numbered from 1. A record of streams that is answered only then carries the numbers of the requests before, and would grant their replicas to others, at a version that is not recorded for them.

Change: the count of times that the host has begun to lead is part of the number.

Measured: nothing; no test plays a lease that lapses with a record under way. The tests of the gateway pass.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -219,6 +219,8 @@
     config: Config,
     inputs: mpsc::Sender<Input>,
     leader_state: Option<LeaderState>,
+    /// Times that this voter has begun to lead, within one term or not.
+    times_led: u64,
 }
 
 /// Spawns the hub of a voter.
@@ -230,6 +232,7 @@
         config,
         inputs: inputs.clone(),
         leader_state: None,
+        times_led: 0,
     };
     tokio::spawn(hub.run(queue));
     Handle { inputs }
@@ -349,6 +352,7 @@
 
     fn start_leading(&mut self, term: id::Term, status: &VoterStatus) {
         let now = Instant::now();
+        self.times_led += 1;
         let wait = (self.config.lease + LEASE_MARGIN).saturating_sub(status.order_age);
         let continues = status.previous_holder.as_ref() == Some(&self.gateway.host);
         let orders_from = match term == FIRST_TERM || continues {
@@ -374,7 +378,8 @@
             }),
             scheduler: Scheduler::new(scheduler::Config::default()),
             requests: BTreeMap::new(),
-            next_number: 1,
+            // What was asked under an earlier number must find no request of now.
+            next_number: self.times_led << 32,
             next_sweep: now,
             next_tick: now,
             input_pending: false,
