software: the wait for the next leader begins when the last one is lost

Cause: the 1.5 s in which a stream waits for another leader began with the request, so that one that had waited longer for a replica was refused as soon as the leader was lost. Also, each decision looked for replicas of a version for every group of requests that is bound to one; groups that have a candidate need no look.

Change: the time begins with the loss; only groups without a candidate are looked at.

Measured: the eight tests of software_versions and those of the gateway pass as before; no test shows the difference in the wait.

--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -162,21 +162,31 @@
                                 .as_ref()
                                 .is_none_or(|needed| needed == software)
                     };
-                    if let Some(software) = &group.software
-                        && !placement.serves_at(&group.service, &group.model, software, now)
-                    {
+                    let is_gone = || {
+                        let mut holders = placement.holders(&group.model, now);
+                        group.software.is_some() && !holders.any(|one| serves_group(&one))
+                    };
+                    let found: Rc<[Candidate]> = match &group.adapter {
+                        None => {
+                            let holders = placement.holders(&group.model, now);
+                            let holders = holders.filter(serves_group);
+                            holders.map(|one| candidate(one, None)).collect()
+                        }
+                        Some(adapter) => {
+                            let usable = placement.usable(adapter, now).into_iter();
+                            let usable = usable.filter(|(one, _)| serves_group(one));
+                            usable
+                                .map(|(one, version)| candidate(one, Some(version)))
+                                .collect()
+                        }
+                    };
+                    if found.is_empty() && is_gone() {
                         gone.push(group.clone());
-                        return Rc::new([]);
+                        return found;
                     }
                     let Some(adapter) = &group.adapter else {
-                        let holders = placement.holders(&group.model, now).filter(serves_group);
-                        return holders.map(|one| candidate(one, None)).collect();
+                        return found;
                     };
-                    let usable = placement.usable(adapter, now).into_iter();
-                    let usable = usable.filter(|(one, _)| serves_group(one));
-                    let found: Rc<[Candidate]> = usable
-                        .map(|(one, version)| candidate(one, Some(version)))
-                        .collect();
                     if found.is_empty() {
                         missing.push((adapter.clone(), group.software.clone(), jobs));
                     } else if found.iter().all(|one| {
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -122,7 +122,7 @@
     resumption: &Resumption,
     trace: &mut Trace,
 ) -> Result<Option<SelectedUpstream>, Rejection> {
-    let until = job.deadline.min(Instant::now() + LEADER_WAIT);
+    let mut lost_at = None;
     let mut notices = gateway.last_notice_at.subscribe();
     loop {
         notices.mark_unchanged();
@@ -135,6 +135,8 @@
         if !may_differ {
             return Ok(None);
         }
+        let lost_at = *lost_at.get_or_insert_with(Instant::now);
+        let until = job.deadline.min(lost_at + LEADER_WAIT);
         // However the wait ends, the leader is asked again if there is time.
         let _ = timeout_at(until, notices.changed()).await;
         if Instant::now() >= until {
