--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -12,7 +12,7 @@
     scheduler::{self, Candidate, Decision, Job, Pauses, PromptPart, Scheduler},
 };
 
-fn job(number: u64, now: Instant) -> Job {
+pub(super) fn job(number: u64, now: Instant) -> Job {
     Job {
         number,
         service: "llm".to_owned(),
--- a/crates/tanagershift/src/gateway/take_up_tests.rs
+++ b/crates/tanagershift/src/gateway/take_up_tests.rs
@@ -8,6 +8,7 @@
     limit::Limits,
     quarantine::Ledger,
     scheduler::{self, Candidate, Decision, Job, JobNumber, Pauses, Scheduler},
+    scheduler_tests::job,
 };
 use crate::testing::cases;
 
@@ -74,23 +75,11 @@
                     continuing.insert(number);
                 }
                 scheduler.add(Job {
-                    number,
-                    service: "llm".to_owned(),
-                    model: "base".to_owned(),
                     adapter: None,
-                    zone: "a".to_owned(),
-                    host: "host1".to_owned(),
                     prompt_tokens: 1460,
-                    max_output_tokens: 200,
-                    parts: Vec::new(),
-                    priority: 1,
-                    received_at: now,
-                    objective: now + Duration::from_millis(750),
-                    refuse_at: now + Duration::from_millis(2800),
-                    tried: Vec::new(),
                     software: software.map(str::to_owned),
                     is_resumable: true,
-                    keys: Vec::new(),
+                    ..job(number, now)
                 });
             }
         }
