--- a/crates/tanagershift/src/entry/service.rs
+++ b/crates/tanagershift/src/entry/service.rs
@@ -232,7 +232,7 @@
                     if !repeat {
                         return Err(last_error);
                     }
-                    ended += u32::from(ran && is_gone(&address).await);
+                    ended += u32::from(ran && is_gone(&address, None).await);
                     if ended >= MAX_ENDED_UPSTREAMS {
                         return Err(last_error);
                     }
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     io,
+    net::{IpAddr, SocketAddr},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -18,7 +19,7 @@
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{Instant, timeout},
 };
 
@@ -107,9 +108,23 @@
 /// milliseconds.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Connects to an address, from a source address if one is given.
+async fn connect_tcp(address: &str, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Whether nothing accepts connections at an address.
-pub async fn is_gone(address: &str) -> bool {
-    let connect = TcpStream::connect(address);
+pub async fn is_gone(address: &str, source: Option<IpAddr>) -> bool {
+    let connect = connect_tcp(address, source);
     !matches!(timeout(CHECK_TIMEOUT, connect).await, Ok(Ok(_)))
 }
 
@@ -129,9 +144,9 @@
     /// # Errors
     ///
     /// The upstream cannot be reached.
-    pub async fn open(address: &str) -> Result<Self, Error> {
+    pub async fn open(address: &str, source: Option<IpAddr>) -> Result<Self, Error> {
         let fail = |reason: String| Error::Connect { reason };
-        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let connect = timeout(CONNECT_TIMEOUT, connect_tcp(address, source)).await;
         let stream = connect
             .map_err(|_| fail("timeout".to_owned()))?
             .map_err(|error| fail(error.to_string()))?;
@@ -191,6 +206,8 @@
 /// Idle connections, by address of the upstream.
 #[derive(Debug, Default)]
 pub struct Pool {
+    /// Address that connections to upstreams are made from; `None` lets the system choose.
+    pub source: Option<IpAddr>,
     idle: Mutex<HashMap<String, Vec<Idle>>>,
 }
 
@@ -253,7 +270,7 @@
     pub async fn connect(&self, address: &str) -> Result<Connection, Error> {
         match self.take(address, Instant::now()) {
             Some(connection) => Ok(connection),
-            None => Connection::open(address).await,
+            None => Connection::open(address, self.source).await,
         }
     }
 }
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -71,7 +71,7 @@
         let seeds = seeds(&settings);
         let addresses = seeds.iter().map(SocketAddr::to_string).collect();
         let leader = Leader::new(pool.clone(), addresses);
-        let gateway = Arc::new(Gateway::new(
+        let mut gateway = Gateway::new(
             host.clone(),
             settings.host.zone.clone(),
             session,
@@ -79,7 +79,9 @@
             leader.clone(),
             config.budget.clone(),
             config.version_bound,
-        ));
+        );
+        gateway.pool.source = config.upstream_source;
+        let gateway = Arc::new(gateway);
         let voter = start_voter(&settings, &pool, &leader, seeds)?;
         let hub = voter.as_ref().map(|voter| {
             let status = voter.status().clone();
--- a/crates/tanagershift/src/gateway/hub/reachability.rs
+++ b/crates/tanagershift/src/gateway/hub/reachability.rs
@@ -66,8 +66,9 @@
             }
             let (term, address) = (self.term, replica.upstream.address.clone());
             let (inputs, metrics) = (inputs.clone(), gateway.metrics.clone());
+            let source = gateway.pool.source;
             tokio::spawn(async move {
-                let gone = is_gone(&address).await;
+                let gone = is_gone(&address, source).await;
                 metrics.replica_checks.inc();
                 // Fails only while the process ends, since the hub runs until then.
                 let _ = inputs.send(Input::Checked(term, name, gone)).await;
--- a/crates/tanagershift/src/gateway/quarantine/report.rs
+++ b/crates/tanagershift/src/gateway/quarantine/report.rs
@@ -52,7 +52,7 @@
         progress: Progress,
     ) {
         let broken_at = Instant::now();
-        if !is_gone(&upstream.address).await {
+        if !is_gone(&upstream.address, self.pool.source).await {
             return;
         }
         let now = Instant::now();
--- a/crates/tanagershift/src/gateway/settings.rs
+++ b/crates/tanagershift/src/gateway/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of a gateway.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use super::{quarantine, retry_budget};
 use crate::ini::{self, Section};
@@ -32,6 +35,9 @@
     pub quarantine: quarantine::Config,
     /// Time for which a stream can be taken up after the longest timeout of a route.
     pub take_up_margin: Duration,
+    /// Address that connections to upstreams are made from, on a host with several; `None` lets the
+    /// system choose.
+    pub upstream_source: Option<IpAddr>,
 }
 
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
@@ -69,6 +75,7 @@
             budget: retry_budget::Config::default(),
             quarantine: quarantine::Config::default(),
             take_up_margin: Duration::from_secs(10),
+            upstream_source: None,
         };
         section.read("list-rate", &mut config.list_calls_per_second, parse_number)?;
         section.read("list-interval", &mut config.list_interval, ini::duration)?;
@@ -85,6 +92,10 @@
         let pause = &mut config.quarantine.sole_suspect_pause;
         section.read("quarantine-pause", pause, ini::duration)?;
         section.read("take-up-margin", &mut config.take_up_margin, ini::duration)?;
+        section.read("upstream-source", &mut config.upstream_source, |text| {
+            let address = text.parse().map(Some);
+            address.map_err(|_| format!("`{text}` is not an IP number"))
+        })?;
         if config.list_calls_per_second < 1.0 {
             return Err(section.error("list-rate", None, "must be at least 1"));
         }
