--- a/crates/tanagershift/src/daemon.rs
+++ b/crates/tanagershift/src/daemon.rs
@@ -101,7 +101,7 @@
             voter: voter.clone(),
         };
         let handle = move |body, responder| takes.take(body, responder);
-        tokio::spawn(link::serve(peers, greeting, handle));
+        tokio::spawn(link::serve(peers, greeting, handle, None));
         let stop = watch::Sender::new(false);
         if let Some(listener) = callers {
             let entry = Arc::new(Entry::new(host.clone()));
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Gateway, compression,
-    message::{List, Mark, Notice, Tally, Watch},
+    message::{List, Mark, Notice, ReachReport, Tally, Watch},
     quarantine::Standing,
     settings::Config,
     upstream_list,
@@ -70,6 +70,7 @@
                 session: self.gateway.session,
                 version,
                 address: self.address.clone(),
+                zone: self.gateway.zone.clone(),
             });
             let opened = self
                 .gateway
@@ -141,6 +142,9 @@
             notice.is_snapshot || !notice.residencies.is_empty() || notice.list.is_some();
         self.gateway.view().apply(&notice, now);
         self.gateway.apply_departures(&notice.leaving);
+        if !notice.helpers.is_empty() {
+            self.gateway.reach.lock().set_helpers(&notice.helpers);
+        }
         self.apply_marks(&notice.marks);
         if residencies_changed {
             self.gateway
@@ -225,6 +229,10 @@
                     limits: view.limits.take_reports(Instant::now()),
                     limited_demand: view.take_limited_demand(),
                     unreachable: view.take_unreachable(),
+                    reach: Some(ReachReport {
+                        is_cut_off: self.gateway.reach.lock().is_cut_off(),
+                        is_draining: self.gateway.is_draining(),
+                    }),
                 }
             };
             self.gateway.leader.tell(Body::Tally(tally)).await;
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -23,6 +23,7 @@
     time::{Instant, timeout},
 };
 
+use super::reach::{self, DetourGuard, UseGuard};
 use crate::{holder::engine::error_chain, verdict::Verdict};
 
 /// Longest time to connect. A replica in the region answers within a few milliseconds; a lost SYN is
@@ -109,7 +110,11 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Connects to an address, from a source address if one is given.
-async fn connect_tcp(address: &str, source: Option<IpAddr>) -> io::Result<TcpStream> {
+///
+/// # Errors
+///
+/// The address cannot be connected to.
+pub async fn connect_tcp(address: &str, source: Option<IpAddr>) -> io::Result<TcpStream> {
     let Some(source) = source else {
         return TcpStream::connect(address).await;
     };
@@ -136,6 +141,10 @@
     /// Whether the connection has carried a request before.
     used: bool,
     opened_at: Instant,
+    /// Counts the connection as used; `None` while it is idle, or if it leads through another host.
+    usage: Option<UseGuard>,
+    /// Counts the connection at the host that it leads through; `None` for an own one.
+    detour: Option<DetourGuard>,
 }
 
 impl Connection {
@@ -151,10 +160,19 @@
             .map_err(|_| fail("timeout".to_owned()))?
             .map_err(|error| fail(error.to_string()))?;
         set_socket_options(&stream).map_err(|error| fail(error.to_string()))?;
-        let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| fail(error.to_string()))?;
+        Self::start(address, stream).await
+    }
+
+    /// Makes a connection of a stream that leads to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended already.
+    async fn start(address: &str, stream: TcpStream) -> Result<Self, Error> {
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| Error::Connect {
+            reason: error.to_string(),
+        })?;
         // If a request is in flight, `send` returns the error of the connection; otherwise the
         // error can be ignored.
         tokio::spawn(async move { connection.await.ok() });
@@ -163,9 +181,47 @@
             sender,
             used: false,
             opened_at: Instant::now(),
+            usage: None,
+            detour: None,
+        })
+    }
+
+    /// Makes a connection of a stream that leads to an upstream through another host.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended already.
+    pub async fn through(
+        address: &str,
+        stream: TcpStream,
+        detour: DetourGuard,
+    ) -> Result<Self, Error> {
+        let connection = Self::start(address, stream).await?;
+        Ok(Self {
+            detour: Some(detour),
+            ..connection
         })
     }
 
+    /// Whether the connection leads through another host.
+    pub fn is_detour(&self) -> bool {
+        self.detour.is_some()
+    }
+
+    /// Counts an own connection as used until it is returned to the pool or dropped.
+    pub fn begin_use(&mut self, reach: &reach::Shared) {
+        if !self.is_detour() {
+            self.usage = Some(reach.begin_use(&self.address, Instant::now()));
+        }
+    }
+
+    /// Records that bytes arrived.
+    pub fn record_heard(&self, now: Instant) {
+        if let Some(usage) = &self.usage {
+            usage.record_heard(now);
+        }
+    }
+
     /// Whether the connection has carried a request before, in which case the upstream may be closing
     /// it.
     pub fn is_used(&self) -> bool {
@@ -200,6 +256,7 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    idle_since: Instant,
     reusable_until: Instant,
 }
 
@@ -216,23 +273,37 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the most recently used idle connection to an address.
-    pub fn take(&self, address: &str, now: Instant) -> Option<Connection> {
+    /// Takes the most recently used idle connection to an address of those that suit.
+    fn take(
+        &self,
+        address: &str,
+        now: Instant,
+        suits: impl Fn(&Idle) -> bool,
+    ) -> Option<Connection> {
         let mut all = self.idle();
         let idle = all.get_mut(address)?;
-        while let Some(last) = idle.pop() {
-            if now < last.reusable_until && last.connection.sender.is_ready() {
-                return Some(last.connection);
-            }
-        }
-        all.remove(address);
-        None
+        idle.retain(|one| now < one.reusable_until && one.connection.sender.is_ready());
+        let at = idle.iter().rposition(suits)?;
+        Some(idle.remove(at).connection)
+    }
+
+    /// Takes an idle connection of this host's own.
+    pub fn take_own(&self, address: &str, now: Instant) -> Option<Connection> {
+        self.take(address, now, |idle| !idle.connection.is_detour())
+    }
+
+    /// Takes an idle connection that works although new ones of this host's own have failed since a
+    /// time: one that has carried an answer since, or one through another host.
+    pub fn take_proven(&self, address: &str, since: Instant, now: Instant) -> Option<Connection> {
+        self.take(address, now, |idle| {
+            idle.connection.is_detour() || idle.idle_since >= since
+        })
     }
 
     /// Returns a connection to the pool after its response was read completely.
     ///
     /// `idle_limit` is how long the upstream keeps an idle connection open, if it states that.
-    pub fn put(&self, connection: Connection, idle_limit: Option<Duration>, now: Instant) {
+    pub fn put(&self, mut connection: Connection, idle_limit: Option<Duration>, now: Instant) {
         if connection.sender.is_closed() {
             return;
         }
@@ -240,11 +311,13 @@
             Some(limit) => limit.saturating_sub(IDLE_MARGIN).max(limit / 4),
             None => DEFAULT_IDLE_TIME,
         };
+        connection.usage = None;
         let address = connection.address.clone();
         let reusable_until = now + reusable_for;
         let mut all = self.idle();
         all.entry(address).or_default().push(Idle {
             connection,
+            idle_since: now,
             reusable_until,
         });
     }
@@ -262,13 +335,13 @@
         });
     }
 
-    /// Takes an idle connection, or opens a new one.
+    /// Takes an idle connection of this host's own, or opens a new one.
     ///
     /// # Errors
     ///
     /// The upstream cannot be reached.
     pub async fn connect(&self, address: &str) -> Result<Connection, Error> {
-        match self.take(address, Instant::now()) {
+        match self.take_own(address, Instant::now()) {
             Some(connection) => Ok(connection),
             None => Connection::open(address, self.source).await,
         }
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -4,13 +4,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
-    sync::watch,
+    sync::{mpsc, watch},
     time::{Instant, sleep, timeout},
 };
 
 use super::{
     Gateway, background::BackgroundTasks, control::Control, dialect::Dialect, hub, server,
-    settings::Config,
+    settings::Config, tunnel,
 };
 use crate::{
     daemon::{Error, listen},
@@ -30,6 +30,9 @@
 /// Time before the end of the grace period at which the process stops waiting for open requests.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Requests of other hosts to pass on connections that may wait to be handled.
+const TUNNEL_REQUESTS: usize = 64;
+
 /// A running host with a gateway.
 #[derive(Debug)]
 pub struct Daemon {
@@ -85,7 +88,7 @@
         let voter = start_voter(&settings, &pool, &leader, seeds)?;
         let hub = voter.as_ref().map(|voter| {
             let status = voter.status().clone();
-            hub::start(gateway.clone(), status, config.clone())
+            hub::start(gateway.clone(), voter.clone(), status, config.clone())
         });
         let peer_handler = PeerHandler {
             host,
@@ -94,7 +97,9 @@
             hub,
         };
         let handle = move |body, responder| peer_handler.handle(body, responder);
-        tokio::spawn(link::serve(peer_listener, greeting, handle));
+        let (tunnels, tunnel_requests) = mpsc::channel(TUNNEL_REQUESTS);
+        tokio::spawn(link::serve(peer_listener, greeting, handle, Some(tunnels)));
+        tokio::spawn(tunnel::serve(gateway.clone(), tunnel_requests));
         tokio::spawn(server::serve_metrics(gateway.clone(), admin_listener));
         let address = settings.host.peer.to_string();
         start_background_tasks(&gateway, &config, address);
@@ -153,7 +158,8 @@
         self.stop.send_replace(true);
         let time_limit = self.grace_period.saturating_sub(GRACE_MARGIN);
         let drained = async {
-            while self.gateway.metrics.open.get() > 0 {
+            let metrics = &self.gateway.metrics;
+            while metrics.open.get() > 0 || metrics.open_tunnels.get() > 0 {
                 sleep(DRAIN_CHECK_INTERVAL).await;
             }
             // Leaves time for the last answers to be written.
@@ -183,6 +189,8 @@
     tokio::spawn(tasks.clone().send_tallies());
     tokio::spawn(tasks.clone().read_list_without_leader());
     tokio::spawn(tasks.sweep_idle_connections());
+    tokio::spawn(gateway.clone().watch_silence());
+    tokio::spawn(gateway.clone().probe_links());
 }
 
 /// Starts the voter if the settings have a `[voter]` section.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -28,6 +28,9 @@
 /// Connections to try at one upstream, since idle ones may turn out to be closed.
 const MAX_CONNECTION_ATTEMPTS: usize = 3;
 
+/// Why an attempt is given up whose answer cannot arrive.
+pub const KEPT_DEAD_REASON: &str = "this host is cut off from the upstreams";
+
 /// A caller's request, read completely and matched to a route.
 #[derive(Debug)]
 pub struct Job {
@@ -225,6 +228,7 @@
         Ok(Ok(answered)) => answered,
     };
     progress.record_head(now);
+    connection.record_heard(now);
     let (head, body) = response.into_parts();
     let parsed_head = gateway.dialect.parse_response_head(&head);
     gateway.apply_signal(upstream, &head, &parsed_head, Origin::Answer);
@@ -249,6 +253,8 @@
             view.record_unreachable(upstream, now);
             gateway.tally_wanted.notify_one();
         }
+        // What breaks at a host that is cut off says nothing about the upstream.
+        Error::Unsent | Error::Broken { .. } if gateway.reach.lock().is_cut_off() => {}
         Error::Unsent | Error::Broken { .. } => view.record_failure(upstream, now),
         Error::Withheld | Error::Quarantined | Error::Unconfirmed => {}
     }
@@ -273,7 +279,7 @@
 ) -> Result<(Connection, Response<Incoming>), Error> {
     let mut last_error = Error::Unsent;
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
-        let mut connection = gateway.pool.connect(&upstream.address).await?;
+        let mut connection = gateway.connect(upstream).await?;
         let request = build_request(gateway, job, upstream, version, resume_after)?;
         // Decided after connecting, which takes time.
         if let Err(access) = gateway.admit(&upstream.name) {
@@ -298,7 +304,14 @@
         if !clearance.is_assigned && !gateway.view().limits.take(&upstream.name, now) {
             return Err(Error::Withheld);
         }
-        match connection.send(request).await {
+        let is_abandoned = may_abandon(job, &connection);
+        let sent = tokio::select! {
+            sent = connection.send(request) => sent,
+            () = gateway.kept_dead(), if is_abandoned => Err(Error::Broken {
+                reason: KEPT_DEAD_REASON.to_owned(),
+            }),
+        };
+        match sent {
             Ok(response) => return Ok((connection, response)),
             Err(Error::Unsent) => last_error = Error::Unsent,
             Err(error) => return Err(error),
@@ -307,6 +320,12 @@
     Err(last_error)
 }
 
+/// Whether an attempt is given up when the connections that this host has kept are dead: it is, if the
+/// request can be sent again through another host.
+pub fn may_abandon(job: &Job, connection: &Connection) -> bool {
+    !connection.is_detour() && job.route.may_repeat()
+}
+
 fn build_request(
     gateway: &Gateway,
     job: &Job,
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -17,7 +17,9 @@
     Gateway,
     body_buffer::Buffer,
     configuration::{Configuration, Limits, Route, RouteKind},
-    exchange::{FailedAttempt, Job, Resumption, UpstreamResponse, exchange},
+    exchange::{
+        FailedAttempt, Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, exchange, may_abandon,
+    },
     quarantine::{
         CONVICTED_REASON, CONVICTED_RETRY_AFTER, SUSPECTED_REASON, Standing, request_digest,
         request_keys,
@@ -306,11 +308,20 @@
             let frame = frame.map_err(|error| error.to_string())?;
             if let Some(data) = frame.data_ref() {
                 buffer.push(data)?;
-                upstream_response.progress.record_event(Instant::now());
+                let now = Instant::now();
+                upstream_response.progress.record_event(now);
+                upstream_response.connection.record_heard(now);
             }
         }
         Ok::<Bytes, String>(buffer.into_bytes())
     };
+    let is_abandoned = may_abandon(job, &upstream_response.connection);
+    let read = async {
+        tokio::select! {
+            body = read => body,
+            () = gateway.kept_dead(), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
+        }
+    };
     let body = match timeout_at(job.deadline, read).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => {
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -3,6 +3,8 @@
 //!
 //! * `actions`: sends the orders of the placement.
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
+//! * `helpers`: tells gateways through which hosts they can reach upstreams, and hands over leadership
+//!   where this host cannot.
 //! * `queue`: queues gateways' requests for a replica and answers them.
 //! * `limits`: spreads upstreams' limits, and hands out permits.
 //! * `notices`: messages to and from gateways.
@@ -12,6 +14,7 @@
 
 mod actions;
 mod configuration_history;
+mod helpers;
 mod limits;
 mod notices;
 mod quarantine;
@@ -35,13 +38,17 @@
 
 use actions::carry_out;
 use configuration_history::ConfigurationHistory;
+use helpers::hand_over_if_cut_off;
 use reachability::Checks;
 
 use super::{
     Gateway,
     dialect::{OrderOutcome, Report},
     limit::Limits,
-    message::{Ask, Counts, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
+    message::{
+        Ask, Counts, Helper, Key, List, Mark, Notice, ReachReport, Residency, Tally, Upstream,
+        Watch,
+    },
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
@@ -52,7 +59,10 @@
     admission::Admission,
     id,
     link::Responder,
-    voter::status::{SharedStatus, VoterStatus},
+    voter::{
+        driver,
+        status::{SharedStatus, VoterStatus},
+    },
 };
 
 /// Inputs that may wait for the hub; further ones are dropped.
@@ -119,6 +129,8 @@
     host: id::Host,
     /// Whether the gateway must still be sent all residencies.
     needs_snapshot: bool,
+    /// Hosts through which the gateway was told that it can reach upstreams.
+    helpers: Vec<Helper>,
     queue: mpsc::Sender<Notice>,
 }
 
@@ -128,6 +140,12 @@
     session: u64,
     open: Counts,
     updated_at: Instant,
+    /// Peer address; empty until the gateway subscribes.
+    address: String,
+    /// Availability zone.
+    zone: id::Zone,
+    /// Whether the gateway can help others.
+    reach: ReachReport,
 }
 
 /// A request for a replica, waiting or assigned, whose response stream is open.
@@ -185,6 +203,12 @@
     marks_proposal: Option<JoinHandle<()>>,
     /// Earliest time at which changed marks are proposed.
     next_marks_proposal: Instant,
+    /// Whether the hosts that can help others have changed.
+    helpers_differ: bool,
+    /// Earliest time at which helpers are selected again.
+    next_helpers: Instant,
+    /// Earliest time at which leadership is handed over because of a cut.
+    next_hand_over: Instant,
     /// Gateways with requests that wait for an adapter.
     waiting_gateways: BTreeMap<Adapter, BTreeSet<id::Host>>,
     /// Changes of the placement that were not yet sent to all gateways.
@@ -215,6 +239,7 @@
 /// The hub of one voter; it acts only while the voter leads.
 struct Hub {
     gateway: Arc<Gateway>,
+    voter: driver::Handle,
     voter_status: SharedStatus,
     config: Config,
     inputs: mpsc::Sender<Input>,
@@ -224,10 +249,16 @@
 }
 
 /// Spawns the hub of a voter.
-pub fn start(gateway: Arc<Gateway>, voter_status: SharedStatus, config: Config) -> Handle {
+pub fn start(
+    gateway: Arc<Gateway>,
+    voter: driver::Handle,
+    voter_status: SharedStatus,
+    config: Config,
+) -> Handle {
     let (inputs, queue) = mpsc::channel(QUEUE_CAPACITY);
     let hub = Hub {
         gateway,
+        voter,
         voter_status,
         config,
         inputs: inputs.clone(),
@@ -281,6 +312,9 @@
         if state.software.is_due(Instant::now()) {
             wake = wake.min(Instant::now());
         }
+        if state.helpers_differ {
+            wake = wake.min(state.next_helpers);
+        }
         if state.marks_differ {
             wake = wake.min(state.next_marks_proposal);
         }
@@ -399,6 +433,9 @@
             removed_marks: BTreeSet::new(),
             marks_proposal: None,
             next_marks_proposal: now,
+            helpers_differ: false,
+            next_helpers: now,
+            next_hand_over: now,
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
             next_notice: now,
@@ -461,6 +498,8 @@
         state.sweep(now);
         state.spread_marks(&self.gateway, now);
         state.spread_limits(now);
+        state.spread_helpers(now);
+        hand_over_if_cut_off(&self.gateway, &self.voter, state, now);
         state.start_checks(&self.gateway, &self.inputs, now);
         state.decide(now);
         state.record_software(&self.gateway, &self.inputs, now);
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -16,7 +16,8 @@
 use crate::{
     admission::Origin,
     gateway::message::{
-        self, Announcement, Counts, Document, List, Notice, Residency, Tally, Upstream, Watch,
+        self, Announcement, Counts, Document, List, Notice, ReachReport, Residency, Tally,
+        Upstream, Watch,
     },
     id,
     link::Responder,
@@ -62,6 +63,7 @@
             limits: self.limits.reports(),
             permits: Vec::new(),
             baselines: self.baselines(),
+            helpers: Vec::new(),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -72,6 +74,7 @@
         self.watchers.push(Watcher {
             host: watch.host.clone(),
             needs_snapshot: self.list.number > 0,
+            helpers: Vec::new(),
             queue,
         });
         self.gateways.insert(
@@ -80,8 +83,12 @@
                 session: watch.session,
                 open: Counts::default(),
                 updated_at: now,
+                address: watch.address,
+                zone: watch.zone,
+                reach: ReachReport::default(),
             },
         );
+        self.helpers_differ = true;
         let notices = NoticeStream {
             queue: receiver,
             configurations: self.configuration.subscribe(),
@@ -132,6 +139,9 @@
         for streams in &tally.streams {
             self.scheduler.count_streams(streams, now);
         }
+        if let Some(reach) = &tally.reach {
+            self.record_reach(&tally.host, reach);
+        }
         let gateway = self
             .gateways
             .entry(tally.host)
@@ -139,6 +149,9 @@
                 session: tally.session,
                 open: Counts::default(),
                 updated_at: now,
+                address: String::new(),
+                zone: id::Zone::default(),
+                reach: ReachReport::default(),
             });
         gateway.updated_at = now;
         gateway.session = tally.session;
@@ -264,8 +277,10 @@
     /// Sums the open requests of all gateways for each replica, and updates the placement with
     /// them.
     pub(super) fn sum_open_requests(&mut self, now: Instant) -> Counts {
+        let known = self.gateways.len();
         self.gateways
             .retain(|_, gateway| now < gateway.updated_at + GATEWAY_TIMEOUT);
+        self.helpers_differ |= self.gateways.len() < known;
         let mut counts = vec![0_u32; self.list.upstreams.len()];
         let current = self.gateways.values().map(|gateway| &gateway.open);
         for open in current.filter(|open| open.list == self.list.number) {
--- a/crates/tanagershift/src/gateway/hub/reachability.rs
+++ b/crates/tanagershift/src/gateway/hub/reachability.rs
@@ -12,10 +12,7 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use super::{Input, LeaderState};
-use crate::{
-    gateway::{Gateway, connection::is_gone},
-    id,
-};
+use crate::{gateway::Gateway, id};
 
 /// Time after a check that found a replica gone until the next one.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
@@ -64,12 +61,11 @@
             if !self.checks.running.insert(name.clone()) {
                 continue;
             }
-            let (term, address) = (self.term, replica.upstream.address.clone());
-            let (inputs, metrics) = (inputs.clone(), gateway.metrics.clone());
-            let source = gateway.pool.source;
+            let (term, upstream) = (self.term, replica.upstream.clone());
+            let (inputs, gateway) = (inputs.clone(), gateway.clone());
             tokio::spawn(async move {
-                let gone = is_gone(&address, source).await;
-                metrics.replica_checks.inc();
+                let gone = gateway.is_gone(&upstream).await;
+                gateway.metrics.replica_checks.inc();
                 // Fails only while the process ends, since the hub runs until then.
                 let _ = inputs.send(Input::Checked(term, name, gone)).await;
             });
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -28,6 +28,9 @@
     /// Peer address of the host.
     #[prost(string, tag = "4")]
     pub address: String,
+    /// Availability zone of the host.
+    #[prost(string, tag = "5")]
+    pub zone: String,
 }
 
 /// Changes since the previous notice. Absent fields are unchanged.
@@ -87,6 +90,60 @@
     /// when unchanged.
     #[prost(message, repeated, tag = "16")]
     pub baselines: Vec<Baseline>,
+    /// Hosts through which the receiving gateway can connect to upstreams that it does not reach; empty
+    /// when unchanged.
+    #[prost(message, repeated, tag = "17")]
+    pub helpers: Vec<Helper>,
+}
+
+/// A host that passes on connections of another one to upstreams.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Helper {
+    /// Name of the host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its peer address.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
+/// Asks a host to connect to an upstream and to pass bytes on from then on.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Tunnel {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Its address in the list.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
+/// Answer to a [`Tunnel`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(prost::Enumeration)]
+#[repr(i32)]
+pub enum TunnelOutcome {
+    /// The host cannot help: it is cut off itself, shuts down, carries too much, or does not know the
+    /// upstream as one that takes requests.
+    Unable = 0,
+    /// Whatever follows on the connection is passed on.
+    Open = 1,
+    /// The upstream accepts no connection from this host either.
+    Unreachable = 2,
+}
+
+/// Whether a gateway can help others to reach upstreams.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct ReachReport {
+    /// Whether the host is cut off from the upstreams.
+    #[prost(bool, tag = "1")]
+    pub is_cut_off: bool,
+    /// Whether the host is shutting down.
+    #[prost(bool, tag = "2")]
+    pub is_draining: bool,
 }
 
 /// The platform's list of upstreams.
@@ -224,6 +281,9 @@
     /// Upstreams that accepted no connection since the previous tally.
     #[prost(string, repeated, tag = "13")]
     pub unreachable: Vec<String>,
+    /// Whether the gateway can help others; absent when the tally does not say.
+    #[prost(message, optional, tag = "14")]
+    pub reach: Option<ReachReport>,
 }
 
 /// How many requests an upstream takes from all hosts together.
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -67,6 +67,16 @@
     pub refused_take_ups: Counter,
     /// Streams that were not sent to an upstream which may have started again since it was listed.
     pub unconfirmed_runs: Counter,
+    /// Connections to upstreams that lead through another host.
+    pub detours: Counter,
+    /// Connections to upstreams that were passed on for other hosts.
+    pub carried_tunnels: Counter,
+    /// Connections that are currently passed on for other hosts.
+    pub open_tunnels: Gauge,
+    /// Times that the host was found cut off from the upstreams.
+    pub cut_offs: Counter,
+    /// One while the host is cut off from the upstreams.
+    pub cut_off: Gauge,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
     /// Requests of callers that are currently open.
@@ -100,6 +110,11 @@
             recorded_streams: Gauge::default(),
             refused_take_ups: Counter::default(),
             unconfirmed_runs: Counter::default(),
+            detours: Counter::default(),
+            carried_tunnels: Counter::default(),
+            open_tunnels: Gauge::default(),
+            cut_offs: Counter::default(),
+            cut_off: Gauge::default(),
             list_reads: Counter::default(),
             open: Gauge::default(),
             version: Gauge::default(),
@@ -162,6 +177,16 @@
         let help = "Streams withheld from upstreams that may have started again unlisted";
         let unconfirmed = self.unconfirmed_runs.clone();
         registry.register("unconfirmed_runs", help, unconfirmed);
+        let help = "Connections to upstreams through another host";
+        registry.register("detours", help, self.detours.clone());
+        let help = "Connections passed on for other hosts";
+        registry.register("carried_tunnels", help, self.carried_tunnels.clone());
+        let help = "Connections that are passed on for other hosts now";
+        registry.register("open_tunnels", help, self.open_tunnels.clone());
+        let help = "Times that the host was found cut off from the upstreams";
+        registry.register("cut_offs", help, self.cut_offs.clone());
+        let help = "Whether the host is cut off from the upstreams";
+        registry.register("cut_off", help, self.cut_off.clone());
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
         registry.register("open_requests", "Open requests", self.open.clone());
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 //! * `signal`: applies what upstreams' answers say about further requests.
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `limit`: request rates that upstreams in need have named.
+//! * `connect`: connects to upstreams, directly or through another host (`tunnel`); `reach` decides which,
+//!   `helpers` selects the hosts.
 //! * `upstream_list`: reads the list page by page.
 //! * `body_buffer`: bodies of responses while they arrive.
 //! * `progress`: times of one attempt.
@@ -27,6 +29,7 @@
 pub mod client;
 pub mod compression;
 pub mod configuration;
+pub mod connect;
 pub mod connection;
 pub mod control;
 pub mod daemon;
@@ -34,6 +37,7 @@
 pub mod event_stream;
 pub mod exchange;
 pub mod forward;
+pub mod helpers;
 pub mod hub;
 pub mod job;
 pub mod limit;
@@ -47,6 +51,9 @@
 pub mod progress;
 pub mod prompt_rate;
 pub mod quarantine;
+pub mod reach;
+#[cfg(test)]
+mod reach_tests;
 pub mod relay;
 pub mod retry_budget;
 pub mod scheduler;
@@ -60,6 +67,7 @@
 mod take_up_tests;
 #[cfg(test)]
 mod tests;
+pub mod tunnel;
 pub mod upstream_list;
 pub mod view;
 
@@ -105,6 +113,10 @@
     pub dialect: Arc<dyn Dialect>,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// Which connections to upstreams work.
+    pub reach: reach::Shared,
+    /// Whether the connections that the host has kept to upstreams are dead.
+    pub kept_dead: watch::Sender<bool>,
     /// Metrics for the operators.
     pub metrics: Metrics,
     /// Client for the leader of the voters' group.
@@ -151,6 +163,8 @@
             session,
             dialect,
             pool: Pool::default(),
+            reach: reach::Shared::new(Instant::now()),
+            kept_dead: watch::Sender::new(false),
             metrics: Metrics::default(),
             leader,
             last_notice_at: watch::Sender::new(None),
--- a/crates/tanagershift/src/gateway/quarantine/report.rs
+++ b/crates/tanagershift/src/gateway/quarantine/report.rs
@@ -8,7 +8,6 @@
 use crate::{
     gateway::{
         Gateway,
-        connection::is_gone,
         exchange::Job,
         message::{Accusation, Tally, Upstream, split_keys},
         progress::Progress,
@@ -52,7 +51,7 @@
         progress: Progress,
     ) {
         let broken_at = Instant::now();
-        if !is_gone(&upstream.address, self.pool.source).await {
+        if !self.is_gone(&upstream).await {
             return;
         }
         let now = Instant::now();
--- /dev/null
+++ b/crates/tanagershift/src/gateway/reach.rs
@@ -0,0 +1,289 @@
+//! Which connections to upstreams work: this host's own, or those through another host.
+//!
+//! A host whose own connections fail cannot tell by itself whether the upstreams are gone or its links
+//! are. An upstream that another host reaches is alive, so the own link is at fault. Connections to it
+//! then go through other hosts, and once several links are at fault, so do all new connections.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::message::Helper;
+
+/// Time for which a failed link is not used for new connections.
+const LINK_TTL: Duration = Duration::from_millis(2000);
+/// Failed links, with nothing heard over any other meanwhile, from which on the host counts as cut off.
+const MIN_FAILED_LINKS: usize = 2;
+/// Time without a byte over any of the host's own connections in use after which a link is checked.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(300);
+/// Longest time between two checks during one silence.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which a host that did not help is asked last.
+const HELPER_TTL: Duration = Duration::from_millis(1000);
+
+/// A change of the host's state, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The host is cut off from the upstreams.
+    CutOff {
+        /// Number of links that failed.
+        links: usize,
+        /// Time since anything was heard over another link.
+        silence: Duration,
+    },
+    /// The host reaches an upstream again.
+    Restored {
+        /// How long it was cut off.
+        after: Duration,
+    },
+}
+
+/// A host that may help, as this host knows it.
+#[derive(Clone, Debug)]
+struct KnownHelper {
+    helper: Helper,
+    /// Open connections through it.
+    open: u32,
+    failed_until: Option<Instant>,
+}
+
+/// What is known about connections to upstreams.
+#[derive(Debug)]
+pub struct Reach {
+    /// When each link failed first and last, by address of the upstream.
+    failed_links: BTreeMap<String, (Instant, Instant)>,
+    /// Links that failed since anything was heard over another one.
+    failed_in_silence: BTreeSet<String>,
+    cut_off_since: Option<Instant>,
+    /// When anything was last heard over an own connection, or when the first of those in use was taken
+    /// into use.
+    heard_at: Instant,
+    /// Own connections in use, by address of the upstream.
+    in_use: BTreeMap<String, u32>,
+    next_check: Instant,
+    check_interval: Duration,
+    helpers: Vec<KnownHelper>,
+}
+
+impl Reach {
+    /// Makes the state of a host that has just started.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            failed_links: BTreeMap::new(),
+            failed_in_silence: BTreeSet::new(),
+            cut_off_since: None,
+            heard_at: now,
+            in_use: BTreeMap::new(),
+            next_check: now,
+            check_interval: SILENCE_LIMIT,
+            helpers: Vec::new(),
+        }
+    }
+
+    /// Whether the host is cut off from the upstreams.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off_since.is_some()
+    }
+
+    /// How long the host has been cut off; `None` if it is not.
+    pub fn cut_off_for(&self, now: Instant) -> Option<Duration> {
+        self.cut_off_since.map(|since| now - since)
+    }
+
+    /// Since when new connections to an upstream go through other hosts; `None` if they do not. Kept
+    /// connections over which an answer has come since are known to work.
+    pub fn distrusted_since(&self, address: &str, now: Instant) -> Option<Instant> {
+        let failed = self.failed_links.get(address);
+        let failed = failed.filter(|(_, last)| now < *last + LINK_TTL);
+        let failed_since = failed.map(|(first, _)| *first);
+        match (failed_since, self.cut_off_since) {
+            (Some(link), Some(all)) => Some(link.min(all)),
+            (link, all) => link.or(all),
+        }
+    }
+
+    /// Records that an own connection was made to an upstream.
+    pub fn record_connected(&mut self, address: &str, now: Instant) -> Option<Change> {
+        self.failed_links.remove(address);
+        self.record_heard(now);
+        let since = self.cut_off_since.take()?;
+        self.failed_links.clear();
+        Some(Change::Restored { after: now - since })
+    }
+
+    /// Records that bytes of an upstream arrived over an own connection.
+    pub fn record_heard(&mut self, now: Instant) {
+        self.heard_at = now;
+        self.check_interval = SILENCE_LIMIT;
+        self.failed_in_silence.clear();
+    }
+
+    /// Records that an upstream that could not be reached was reached through another host.
+    pub fn record_detour(&mut self, address: &str, now: Instant) -> Option<Change> {
+        self.failed_links
+            .retain(|_, (_, last)| now < *last + LINK_TTL);
+        let link = self.failed_links.entry(address.to_owned());
+        link.or_insert((now, now)).1 = now;
+        self.failed_in_silence.insert(address.to_owned());
+        let links = self.failed_in_silence.len();
+        if links < MIN_FAILED_LINKS || self.cut_off_since.is_some() {
+            return None;
+        }
+        self.cut_off_since = Some(now);
+        let silence = now - self.heard_at;
+        Some(Change::CutOff { links, silence })
+    }
+
+    /// Counts an own connection that is taken into use.
+    fn begin_use(&mut self, address: &str, now: Instant) {
+        if self.in_use.is_empty() {
+            self.heard_at = now;
+        }
+        *self.in_use.entry(address.to_owned()).or_default() += 1;
+    }
+
+    /// Counts an own connection that is no longer used.
+    fn end_use(&mut self, address: &str) {
+        if let Some(count) = self.in_use.get_mut(address) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_use.remove(address);
+            }
+        }
+    }
+
+    /// Whether own connections are in use and none of them has carried a byte for a while.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        !self.in_use.is_empty() && now >= self.heard_at + SILENCE_LIMIT
+    }
+
+    /// Whether the connections that the host has kept are dead as well, so that what waits for an answer
+    /// over them waits in vain.
+    pub fn are_kept_dead(&self, now: Instant) -> bool {
+        self.is_cut_off() && self.is_silent(now)
+    }
+
+    /// Upstreams whose links are to be checked now: two of those in use, if all own connections are
+    /// silent. Checks become rarer while the silence lasts.
+    pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
+        if self.is_cut_off() || now < self.next_check || !self.is_silent(now) {
+            return Vec::new();
+        }
+        self.next_check = now + self.check_interval;
+        self.check_interval = (self.check_interval * 2).min(MAX_CHECK_INTERVAL);
+        self.in_use.keys().take(MIN_FAILED_LINKS).cloned().collect()
+    }
+
+    /// Replaces the hosts that may help.
+    pub fn set_helpers(&mut self, helpers: &[Helper]) {
+        let mut known = std::mem::take(&mut self.helpers);
+        let entry = |helper: &Helper| {
+            let at = known.iter().position(|one| one.helper == *helper);
+            at.map(|at| known.swap_remove(at)).unwrap_or(KnownHelper {
+                helper: helper.clone(),
+                open: 0,
+                failed_until: None,
+            })
+        };
+        self.helpers = helpers.iter().map(entry).collect();
+    }
+
+    /// Addresses of the hosts to connect through, in the order in which they are tried: those that have
+    /// not failed, then those with the fewest connections, then as the leader has ordered them.
+    pub fn helpers(&self, now: Instant) -> Vec<String> {
+        let mut helpers: Vec<&KnownHelper> = self.helpers.iter().collect();
+        let failed = |one: &KnownHelper| one.failed_until.is_some_and(|until| now < until);
+        helpers.sort_by_key(|one| (failed(one), one.open));
+        let address = |one: &KnownHelper| one.helper.address.clone();
+        helpers.into_iter().map(address).collect()
+    }
+
+    /// Records that a host did not help.
+    pub fn record_helper_failed(&mut self, address: &str, now: Instant) {
+        let mut helpers = self.helpers.iter_mut();
+        if let Some(known) = helpers.find(|one| one.helper.address == address) {
+            known.failed_until = Some(now + HELPER_TTL);
+        }
+    }
+
+    fn count_helper(&mut self, address: &str, opened: bool) {
+        let mut helpers = self.helpers.iter_mut();
+        if let Some(known) = helpers.find(|one| one.helper.address == address) {
+            known.open = match opened {
+                true => known.open + 1,
+                false => known.open.saturating_sub(1),
+            };
+        }
+    }
+}
+
+/// State that the connections of a gateway share.
+#[derive(Clone, Debug)]
+pub struct Shared(Arc<Mutex<Reach>>);
+
+impl Shared {
+    /// Makes the state of a host that has just started.
+    pub fn new(now: Instant) -> Self {
+        Self(Arc::new(Mutex::new(Reach::new(now))))
+    }
+
+    /// Locks the state.
+    pub fn lock(&self) -> MutexGuard<'_, Reach> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts an own connection as used until the guard is dropped.
+    pub fn begin_use(&self, address: &str, now: Instant) -> UseGuard {
+        self.lock().begin_use(address, now);
+        UseGuard {
+            shared: self.clone(),
+            address: address.to_owned(),
+        }
+    }
+
+    /// Counts a connection through another host until the guard is dropped.
+    pub fn begin_detour(&self, helper: &str) -> DetourGuard {
+        self.lock().count_helper(helper, true);
+        DetourGuard {
+            shared: self.clone(),
+            helper: helper.to_owned(),
+        }
+    }
+}
+
+/// Counts an own connection as used until dropped.
+#[derive(Debug)]
+pub struct UseGuard {
+    shared: Shared,
+    address: String,
+}
+
+impl UseGuard {
+    /// Records that bytes arrived.
+    pub fn record_heard(&self, now: Instant) {
+        self.shared.lock().record_heard(now);
+    }
+}
+
+impl Drop for UseGuard {
+    fn drop(&mut self) {
+        self.shared.lock().end_use(&self.address);
+    }
+}
+
+/// Counts a connection through another host until dropped.
+#[derive(Debug)]
+pub struct DetourGuard {
+    shared: Shared,
+    helper: String,
+}
+
+impl Drop for DetourGuard {
+    fn drop(&mut self) {
+        self.shared.lock().count_helper(&self.helper, false);
+    }
+}
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use super::{
     Gateway,
     event_stream::EventSplitter,
-    exchange::{Job, Resumption, UpstreamResponse},
+    exchange::{Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, may_abandon},
     forward::{self, Trace},
     quarantine::SURVIVAL_TIME,
 };
@@ -123,6 +123,8 @@
     silence: Option<Pin<Box<Sleep>>>,
     /// Whether the answer has shown that its prompt does not crash replicas.
     is_sound: bool,
+    /// Ends when the answer cannot arrive, if the stream can go on elsewhere.
+    abandoned: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 impl fmt::Debug for Stream {
@@ -134,6 +136,17 @@
     }
 }
 
+/// Ends when the answer cannot arrive; `None` if the stream could not go on elsewhere.
+fn abandoned(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    response: &UpstreamResponse,
+) -> Option<Pin<Box<dyn Future<Output = ()> + Send>>> {
+    let gateway = gateway.clone();
+    may_abandon(job, &response.connection)
+        .then(|| Box::pin(async move { gateway.kept_dead().await }) as _)
+}
+
 fn silence_limit() -> Pin<Box<Sleep>> {
     Box::pin(sleep(SILENCE_LIMIT))
 }
@@ -146,6 +159,7 @@
         response: UpstreamResponse,
         trace: &mut Trace,
     ) -> Self {
+        let abandoned = abandoned(&gateway, &job, &response);
         Self {
             gateway,
             deadline: Box::pin(sleep_until(job.deadline)),
@@ -159,6 +173,7 @@
             guard: None,
             silence: Some(silence_limit()),
             is_sound: false,
+            abandoned,
         }
     }
 
@@ -181,6 +196,7 @@
                     self.trace = trace;
                     match response {
                         Some(response) => {
+                            self.abandoned = abandoned(&self.gateway, &self.job, &response);
                             self.silence = Some(silence_limit());
                             self.source = Source::Response(Box::new(response));
                         }
@@ -188,7 +204,16 @@
                     }
                 }
                 Source::Response(response) => {
-                    let frame = ready!(Pin::new(&mut response.body).poll_frame(context));
+                    let frame = match Pin::new(&mut response.body).poll_frame(context) {
+                        Poll::Ready(frame) => frame,
+                        Poll::Pending if self.is_abandoned(context) => {
+                            match self.resume_or_fail(KEPT_DEAD_REASON) {
+                                Some(item) => return Poll::Ready(item),
+                                None => continue,
+                            }
+                        }
+                        Poll::Pending => return Poll::Pending,
+                    };
                     if let Some(item) = self.handle_frame(frame) {
                         return Poll::Ready(item);
                     }
@@ -227,6 +252,7 @@
         let now = Instant::now();
         if let Source::Response(response) = &mut self.source {
             response.progress.record_event(now);
+            response.connection.record_heard(now);
             let software = &response.guard.upstream().software;
             self.software.get_or_insert_with(|| software.clone());
         }
@@ -245,6 +271,12 @@
         self.gateway.metrics.first_event.observe(time.as_secs_f64());
     }
 
+    /// Whether the answer cannot arrive.
+    fn is_abandoned(&mut self, context: &mut Context<'_>) -> bool {
+        let abandoned = self.abandoned.as_mut();
+        abandoned.is_some_and(|abandoned| abandoned.as_mut().poll(context).is_ready())
+    }
+
     /// Checks a replica that has been silent since it began the answer.
     fn check_silence(&mut self, context: &mut Context<'_>) {
         let Source::Response(response) = &self.source else {
@@ -324,7 +356,10 @@
         };
         let report = broken.map(|(upstream, progress)| {
             let name = &upstream.name;
-            self.gateway.view().record_failure(name, Instant::now());
+            // What breaks at a host that is cut off says nothing about the upstream.
+            if !self.gateway.reach.lock().is_cut_off() {
+                self.gateway.view().record_failure(name, Instant::now());
+            }
             self.gateway.log_broken(&self.job, name, &progress, reason);
             self.gateway.report_crash(&self.job, &upstream, progress)
         });
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -254,6 +254,21 @@
         Some(known.upstream.clone())
     }
 
+    /// Returns the upstream at an address; `None` if none is listed there.
+    pub fn upstream_at(&self, address: &str) -> Option<Arc<Upstream>> {
+        let mut upstreams = self.upstreams.values();
+        let known = upstreams.find(|known| known.upstream.address == address)?;
+        Some(known.upstream.clone())
+    }
+
+    /// Returns any of the listed upstreams; `None` if there is none.
+    pub fn random_upstream(&self) -> Option<Arc<Upstream>> {
+        let count = self.upstreams.len();
+        let known = (count > 0).then(|| rand::random_range(0..count));
+        let known = self.upstreams.values().nth(known?)?;
+        Some(known.upstream.clone())
+    }
+
     /// Returns all upstreams of a service.
     pub fn upstreams_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownUpstream> {
         let upstreams = self.upstreams.values();
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -14,7 +14,7 @@
 
 use futures_util::{
     SinkExt, StreamExt,
-    stream::{FuturesUnordered, SplitStream},
+    stream::{self, FuturesUnordered, SplitStream},
 };
 use snafu::Snafu;
 use tokio::{
@@ -26,7 +26,10 @@
 
 use crate::{
     emit,
-    gateway::connection,
+    gateway::{
+        connection,
+        message::{Tunnel, TunnelOutcome},
+    },
     id,
     wire::{Body, Cancel, Codec, Frame, Hello, Probe, Redirect, VERSION},
 };
@@ -253,6 +256,44 @@
     }
 }
 
+/// Connects to a peer and asks it to pass the connection on to an upstream. Returns what it answered, and
+/// the connection, which carries no more frames.
+///
+/// # Errors
+///
+/// The peer cannot be reached, or refuses.
+pub async fn open_tunnel(
+    address: &str,
+    greeting: &Greeting,
+    tunnel: Tunnel,
+) -> Result<(TunnelOutcome, TcpStream), String> {
+    let stream = connect_staggered(address).await?;
+    connection::set_socket_options(&stream).map_err(|error| error.to_string())?;
+    let mut connection = Framed::new(stream, Codec::default());
+    let request = Frame {
+        stream: 1,
+        last: true,
+        body: Some(Body::Tunnel(tunnel)),
+    };
+    let sent = async {
+        connection.feed(greeting.hello()).await?;
+        connection.send(request).await
+    };
+    sent.await.map_err(|error| error.to_string())?;
+    greeting.accepts(connection.next().await.and_then(Result::ok))?;
+    let answer = connection.next().await.and_then(Result::ok);
+    let outcome = match answer.and_then(|frame| frame.body) {
+        Some(Body::TunnelOutcome(outcome)) => TunnelOutcome::try_from(outcome).ok(),
+        _ => None,
+    };
+    let parts = connection.into_parts();
+    match outcome {
+        // Upstreams send nothing before they have a request.
+        Some(outcome) if parts.read_buf.is_empty() => Ok((outcome, parts.io)),
+        _ => Err("the peer does not pass connections on".to_owned()),
+    }
+}
+
 /// One stream that this process opened. Dropping it cancels it at the peer.
 #[derive(Debug)]
 pub struct Call {
@@ -439,6 +480,11 @@
         }
     }
 
+    /// Who this process is to its peers.
+    pub fn greeting(&self) -> &Greeting {
+        &self.greeting
+    }
+
     /// A connection to a peer.
     ///
     /// # Errors
@@ -585,17 +631,25 @@
     }
 }
 
-/// Accepts connections and hands each opened stream to `handle`.
-pub async fn serve<H>(listener: TcpListener, greeting: Greeting, handle: H)
-where
+/// Takes over connections that peers want passed on to an upstream.
+pub type TunnelQueue = mpsc::Sender<(Tunnel, TcpStream)>;
+
+/// Accepts connections and hands each opened stream to `handle`, and each connection that is to be passed
+/// on to `tunnels`.
+pub async fn serve<H>(
+    listener: TcpListener,
+    greeting: Greeting,
+    handle: H,
+    tunnels: Option<TunnelQueue>,
+) where
     H: Fn(Body, Responder) + Clone + Send + Sync + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let greeting = greeting.clone();
-                let handle = handle.clone();
-                tokio::spawn(async move { accept(stream, greeting, handle).await });
+                let (handle, tunnels) = (handle.clone(), tunnels.clone());
+                tokio::spawn(async move { accept(stream, greeting, handle, tunnels).await });
             }
             Err(error) => {
                 emit!(ACCEPT_FAILED, "{error}");
@@ -605,7 +659,7 @@
     }
 }
 
-async fn accept<H>(stream: TcpStream, greeting: Greeting, handle: H)
+async fn accept<H>(stream: TcpStream, greeting: Greeting, handle: H, tunnels: Option<TunnelQueue>)
 where
     H: Fn(Body, Responder),
 {
@@ -623,7 +677,22 @@
     if connection.send(greeting.hello()).await.is_err() {
         return;
     }
-    let (sink, mut stream) = connection.split();
+    let Some(mut first) = connection.next().await else {
+        return;
+    };
+    if let Ok(frame) = &mut first
+        && let Some(Body::Tunnel(tunnel)) = &mut frame.body
+    {
+        // An upstream gets nothing before the opener has heard that the connection stands.
+        if let Some(tunnels) = tunnels {
+            let tunnel = std::mem::take(tunnel);
+            // A queue that is full refuses by the end of the connection.
+            let _ = tunnels.try_send((tunnel, connection.into_inner()));
+        }
+        return;
+    }
+    let (sink, stream) = connection.split();
+    let mut stream = stream::iter([first]).chain(stream);
     let (writer, queue) = mpsc::channel(WRITE_QUEUE);
     tokio::spawn(write(sink, queue));
     let mut open: HashMap<id::Stream, watch::Sender<bool>> = HashMap::new();
--- a/crates/tanagershift/src/quorum/node/election.rs
+++ b/crates/tanagershift/src/quorum/node/election.rs
@@ -130,17 +130,22 @@
         self.leader = leader;
     }
 
-    /// Starts the transfer of the leadership to the voter with the most complete log.
+    /// Starts the transfer of the leadership to the voter with the most complete log of those that suit.
     ///
-    /// Used for a graceful shutdown. This member becomes a follower at once, so its lease ends
+    /// Used for a graceful shutdown, and where the leader's host can do only a part of its work. This member becomes a follower at once, so its lease ends
     /// before that of the next leader begins. Returns whether it was the leader and found another
     /// voter.
-    pub fn transfer_leadership(&mut self, now: Instant) -> bool {
+    pub fn transfer_leadership(
+        &mut self,
+        suits: impl Fn(id::Member) -> bool,
+        now: Instant,
+    ) -> bool {
         let Role::Leader(leadership) = &self.role else {
             return false;
         };
         let best = self
             .voters()
+            .filter(|member| suits(*member))
             .filter_map(|member| Some((leadership.progress.get(&member)?.match_index, member)))
             .max();
         let Some((_, member)) = best else {
--- a/crates/tanagershift/src/quorum/tests.rs
+++ b/crates/tanagershift/src/quorum/tests.rs
@@ -380,7 +380,7 @@
             50..60 => {
                 let now = self.now(index);
                 if let Some(node) = &mut self.processes[index].node {
-                    node.transfer_leadership(now);
+                    node.transfer_leadership(|_| true, now);
                     self.carry_out(index, false);
                 }
             }
--- a/crates/tanagershift/src/tests/search.rs
+++ b/crates/tanagershift/src/tests/search.rs
@@ -50,7 +50,7 @@
                 .ok();
         });
     };
-    tokio::spawn(link::serve(listener, greeting("leader"), slow));
+    tokio::spawn(link::serve(listener, greeting("leader"), slow, None));
     let mut seeds = vec![leader.clone()];
     for number in 0..3 {
         let (listener, address) = listen().await;
@@ -64,7 +64,7 @@
             });
         };
         let greeting = greeting(&format!("voter{number}"));
-        tokio::spawn(link::serve(listener, greeting, redirect));
+        tokio::spawn(link::serve(listener, greeting, redirect, None));
     }
     let client = Leader::new(Pool::new(greeting("gateway")), seeds);
     let second = Duration::from_secs(1);
@@ -86,7 +86,7 @@
             responder.finish(report).await.ok();
         });
     };
-    tokio::spawn(link::serve(listener, greeting("leader"), answer));
+    tokio::spawn(link::serve(listener, greeting("leader"), answer, None));
     let (near, between) = listen().await;
     let silent = Arc::new(AtomicU32::new(0));
     tokio::spawn(carry(near, leader, silent.clone()));
@@ -114,7 +114,7 @@
             responder.finish(report).await.ok();
         });
     };
-    tokio::spawn(link::serve(listener, greeting("leader"), answer));
+    tokio::spawn(link::serve(listener, greeting("leader"), answer, None));
     let client = Leader::new(Pool::new(greeting("gateway")), vec![leader]);
     let opened = client.open(Body::Report(Default::default()), second * 5, second * 5);
     assert!(opened.await.is_some());
--- a/crates/tanagershift/src/voter/driver.rs
+++ b/crates/tanagershift/src/voter/driver.rs
@@ -111,8 +111,9 @@
 pub(super) enum Input {
     /// A message from another member, a host or a tool.
     Message(Box<Body>, Responder),
-    /// Transfer the leadership to another voter; answered once that has begun.
-    TransferLeadership(oneshot::Sender<()>),
+    /// Transfer the leadership to a voter at one of these peer addresses, or to any other voter if there
+    /// are none; answered once that has begun.
+    TransferLeadership(Vec<String>, oneshot::Sender<()>),
 }
 
 /// Handle through which the rest of the process uses its voter.
@@ -138,10 +139,16 @@
 
     /// Transfers the leadership to another voter if this one leads.
     pub async fn transfer_leadership(&self) {
+        self.transfer_leadership_to(Vec::new()).await;
+    }
+
+    /// Transfers the leadership to a voter at one of these peer addresses if this one leads, or to any
+    /// other voter if there are none.
+    pub async fn transfer_leadership_to(&self, addresses: Vec<String>) {
         let (done, wait) = oneshot::channel();
         if self
             .inputs
-            .send(Input::TransferLeadership(done))
+            .send(Input::TransferLeadership(addresses, done))
             .await
             .is_ok()
         {
@@ -531,8 +538,13 @@
                 }
                 body => self.handle_message(body, responder, now),
             },
-            Input::TransferLeadership(done) => {
-                if self.node.transfer_leadership(now) {
+            Input::TransferLeadership(addresses, done) => {
+                let known = &self.addresses;
+                let suits = |member: id::Member| {
+                    let address = known.get(&member);
+                    addresses.is_empty() || address.is_some_and(|one| addresses.contains(one))
+                };
+                if self.node.transfer_leadership(suits, now) {
                     self.stop_leading();
                 }
                 let _ = done.send(());
--- a/crates/tanagershift/src/voter/folder.rs
+++ b/crates/tanagershift/src/voter/folder.rs
@@ -30,7 +30,7 @@
                     return Ok(assigned);
                 }
             }
-            Some(Input::TransferLeadership(done)) => {
+            Some(Input::TransferLeadership(_, done)) => {
                 let _ = done.send(());
             }
             // Every sender is gone, so the process is shutting down.
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -44,7 +44,7 @@
     #[prost(
         oneof = "Body",
         tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, \
-                26, 27, 28, 29, 30, 31"
+                26, 27, 28, 29, 30, 31, 32, 33"
     )]
     pub body: Option<Body>,
 }
@@ -140,6 +140,12 @@
     /// Asks the peer to show that it hears, and the answer to it.
     #[prost(message, tag = "31")]
     Probe(Probe),
+    /// Asks for a connection to an upstream. It is the only request on its connection.
+    #[prost(message, tag = "32")]
+    Tunnel(message::Tunnel),
+    /// Answer to the request for a connection.
+    #[prost(enumeration = "message::TunnelOutcome", tag = "33")]
+    TunnelOutcome(i32),
 }
 
 /// Asks the leader for configuration from a revision on, and for the routes.
