--- a/crates/tanagershift/src/gateway/connect.rs
+++ b/crates/tanagershift/src/gateway/connect.rs
@@ -1,8 +1,8 @@
 //! Connects to upstreams, over the host's own links or through another host.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use tokio::time::{Instant, interval, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, interval, sleep, timeout, timeout_at};
 
 use super::{
     Gateway,
@@ -35,8 +35,10 @@
     /// Neither this host nor another one could connect.
     pub async fn connect(&self, upstream: &Upstream) -> Result<Connection, Error> {
         let now = Instant::now();
-        let address = &upstream.address;
-        let distrusted_since = self.reach.lock().distrusted_since(address, now);
+        let Upstream {
+            service, address, ..
+        } = upstream;
+        let distrusted_since = self.reach.lock().distrusted_since(service, address, now);
         let idle = match distrusted_since {
             None => self.pool.take_own(address, now),
             Some(since) => self.pool.take_proven(address, since, now),
@@ -45,14 +47,15 @@
             Some(connection) => connection,
             None => self.open_connection(upstream).await?,
         };
-        connection.begin_use(&self.reach);
+        connection.begin_use(&self.reach, service);
         Ok(connection)
     }
 
     /// Opens a new connection to an upstream.
     async fn open_connection(&self, upstream: &Upstream) -> Result<Connection, Error> {
+        let (service, address) = (&upstream.service, &upstream.address);
         let now = Instant::now();
-        let distrusted = self.reach.lock().distrusted_since(&upstream.address, now);
+        let distrusted = self.reach.lock().distrusted_since(service, address, now);
         if distrusted.is_some()
             && let Ok(connection) = self.open_detour(upstream).await
         {
@@ -69,13 +72,13 @@
         tokio::pin!(own);
         match timeout(DETOUR_DELAY, &mut own).await {
             Ok(Ok(connection)) => {
-                self.record_connected(address);
+                self.record_connected(upstream);
                 return Ok(connection);
             }
             Ok(Err(error)) => {
                 return match self.open_detour(upstream).await {
                     Ok(connection) => {
-                        self.record_detour(address);
+                        self.record_detour(upstream);
                         Ok(connection)
                     }
                     Err(_) => Err(error),
@@ -88,12 +91,12 @@
         tokio::select! {
             connected = &mut own => match connected {
                 Ok(connection) => {
-                    self.record_connected(address);
+                    self.record_connected(upstream);
                     Ok(connection)
                 }
                 Err(error) => match detour.await {
                     Ok(connection) => {
-                        self.record_detour(address);
+                        self.record_detour(upstream);
                         Ok(connection)
                     }
                     Err(_) => Err(error),
@@ -101,7 +104,7 @@
             },
             opened = &mut detour => match opened {
                 Ok(connection) => {
-                    self.record_detour(address);
+                    self.record_detour(upstream);
                     Ok(connection)
                 }
                 Err(outcome) => {
@@ -112,7 +115,7 @@
                     let connection = connected.map_err(|_| Error::Connect {
                         reason: "timeout, here and at another host".to_owned(),
                     })??;
-                    self.record_connected(address);
+                    self.record_connected(upstream);
                     Ok(connection)
                 }
             },
@@ -137,50 +140,57 @@
                 self.pool.put(connection, None, Instant::now());
                 false
             }
-            Ok(Err(_)) | Err(_) => !self.reach.lock().is_cut_off(),
+            Ok(Err(_)) | Err(_) => !self.reach.lock().is_cut_off_from(&upstream.service),
         }
     }
 
     /// Records that an own connection was made to an upstream.
-    pub fn record_connected(&self, address: &str) {
-        let change = self.reach.lock().record_connected(address, Instant::now());
-        self.apply_change(change);
+    pub fn record_connected(&self, upstream: &Upstream) {
+        let (service, address) = (&upstream.service, &upstream.address);
+        let now = Instant::now();
+        let change = self.reach.lock().record_connected(service, address, now);
+        self.apply_change(service, change);
     }
 
     /// Records that an upstream that could not be reached was reached through another host.
-    fn record_detour(&self, address: &str) {
-        let change = self.reach.lock().record_detour(address, Instant::now());
-        self.apply_change(change);
+    fn record_detour(&self, upstream: &Upstream) {
+        let (service, address) = (&upstream.service, &upstream.address);
+        let now = Instant::now();
+        let change = self.reach.lock().record_detour(service, address, now);
+        self.apply_change(service, change);
     }
 
-    fn apply_change(&self, change: Option<Change>) {
+    fn apply_change(&self, service: &str, change: Option<Change>) {
         match change {
             None => return,
             Some(Change::CutOff { links, silence }) => {
                 self.metrics.cut_offs.inc();
-                self.metrics.cut_off.set(1);
                 log::warn!(
-                    "event=reach.cut_off failed_links={links} silence_ms={}",
+                    "event=reach.cut_off service={service} failed_links={links} silence_ms={}",
                     silence.as_millis()
                 );
             }
             Some(Change::Restored { after }) => {
-                self.metrics.cut_off.set(0);
-                log::info!("event=reach.restored after_ms={}", after.as_millis());
+                log::info!(
+                    "event=reach.restored service={service} after_ms={}",
+                    after.as_millis()
+                );
             }
         }
+        let is_cut_off = self.reach.lock().is_cut_off();
+        self.metrics.cut_off.set(is_cut_off.into());
         self.tally_wanted.notify_one();
     }
 
-    /// Waits until the connections that the host has kept are dead.
-    pub async fn kept_dead(&self) {
-        let mut dead = self.kept_dead.subscribe();
+    /// Waits until the connections that the host has kept to the upstreams of a service are dead.
+    pub async fn kept_dead(&self, service: &str) {
+        let mut dead = self.dead_services.subscribe();
         // Fails only while the process ends.
-        let _ = dead.wait_for(|dead| *dead).await;
+        let _ = dead.wait_for(|dead| dead.contains(service)).await;
     }
 
     /// Checks links while all own connections are silent, until the process ends.
-    pub async fn watch_silence(self: std::sync::Arc<Self>) {
+    pub async fn watch_silence(self: Arc<Self>) {
         let mut pace = interval(SILENCE_INTERVAL);
         loop {
             pace.tick().await;
@@ -192,10 +202,10 @@
                     tokio::spawn(async move { gateway.check_link(&upstream).await });
                 }
             }
-            let is_dead = self.reach.lock().are_kept_dead(now);
-            self.kept_dead.send_if_modified(|dead| {
-                let changed = *dead != is_dead;
-                *dead = is_dead;
+            let now_dead = self.reach.lock().dead_services(now);
+            self.dead_services.send_if_modified(|dead| {
+                let changed = *dead != now_dead;
+                *dead = now_dead;
                 changed
             });
         }
@@ -207,24 +217,24 @@
         }
     }
 
-    /// Tries to connect to an upstream directly while the host is cut off, until the process ends.
-    pub async fn probe_links(self: std::sync::Arc<Self>) {
-        let mut next = Instant::now();
+    /// Tries to connect to upstreams directly while the host is cut off, until the process ends.
+    pub async fn probe_links(self: Arc<Self>) {
         loop {
-            next += PROBE_INTERVAL;
-            sleep_until(next).await;
-            next = next.max(Instant::now());
-            if !self.reach.lock().is_cut_off() {
-                continue;
-            }
-            let Some(upstream) = self.view().random_upstream() else {
-                continue;
-            };
-            let own = Connection::open(&upstream.address, self.pool.source);
-            if let Ok(Ok(connection)) = timeout(PROBE_LIMIT, own).await {
-                self.record_connected(&upstream.address);
-                self.pool.put(connection, None, Instant::now());
+            sleep(PROBE_INTERVAL).await;
+            for service in self.reach.lock().lost_services() {
+                if let Some(upstream) = self.view().random_upstream(&service) {
+                    let gateway = self.clone();
+                    tokio::spawn(async move { gateway.probe_link(&upstream).await });
+                }
             }
         }
     }
+
+    async fn probe_link(&self, upstream: &Upstream) {
+        let own = Connection::open(&upstream.address, self.pool.source);
+        if let Ok(Ok(connection)) = timeout(PROBE_LIMIT, own).await {
+            self.record_connected(upstream);
+            self.pool.put(connection, None, Instant::now());
+        }
+    }
 }
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -209,9 +209,9 @@
     }
 
     /// Counts an own connection as used until it is returned to the pool or dropped.
-    pub fn begin_use(&mut self, reach: &reach::Shared) {
+    pub fn begin_use(&mut self, reach: &reach::Shared, service: &str) {
         if !self.is_detour() {
-            self.usage = Some(reach.begin_use(&self.address, Instant::now()));
+            self.usage = Some(reach.begin_use(service, &self.address, Instant::now()));
         }
     }
 
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -212,7 +212,7 @@
             return Err(FailedAttempt::after_sending(reason));
         }
         Ok(Err(error)) => {
-            record_error(gateway, &upstream.name, &error, now);
+            record_error(gateway, upstream, &error, now);
             if let Error::Broken { reason } = &error {
                 gateway.log_broken(job, &upstream.name, &progress, reason);
                 gateway.report_crash(job, upstream, progress).await;
@@ -246,7 +246,9 @@
     check_response(gateway, job, response, now)
 }
 
-fn record_error(gateway: &Gateway, upstream: &str, error: &Error, now: Instant) {
+fn record_error(gateway: &Gateway, upstream: &Upstream, error: &Error, now: Instant) {
+    let is_cut_off = gateway.reach.lock().is_cut_off_from(&upstream.service);
+    let upstream = &upstream.name;
     let mut view = gateway.view();
     match error {
         Error::Connect { .. } => {
@@ -254,7 +256,7 @@
             gateway.tally_wanted.notify_one();
         }
         // What breaks at a host that is cut off says nothing about the upstream.
-        Error::Unsent | Error::Broken { .. } if gateway.reach.lock().is_cut_off() => {}
+        Error::Unsent | Error::Broken { .. } if is_cut_off => {}
         Error::Unsent | Error::Broken { .. } => view.record_failure(upstream, now),
         Error::Withheld | Error::Quarantined | Error::Unconfirmed => {}
     }
@@ -307,7 +309,7 @@
         let is_abandoned = may_abandon(job, &connection);
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
-            () = gateway.kept_dead(), if is_abandoned => Err(Error::Broken {
+            () = gateway.kept_dead(&upstream.service), if is_abandoned => Err(Error::Broken {
                 reason: KEPT_DEAD_REASON.to_owned(),
             }),
         };
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -319,7 +319,7 @@
     let read = async {
         tokio::select! {
             body = read => body,
-            () = gateway.kept_dead(), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
+            () = gateway.kept_dead(&job.service), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
         }
     };
     let body = match timeout_at(job.deadline, read).await {
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -72,7 +72,7 @@
 pub mod view;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::Duration,
 };
@@ -115,8 +115,8 @@
     pub pool: Pool,
     /// Which connections to upstreams work.
     pub reach: reach::Shared,
-    /// Whether the connections that the host has kept to upstreams are dead.
-    pub kept_dead: watch::Sender<bool>,
+    /// Services over whose kept connections nothing can arrive any more.
+    pub dead_services: watch::Sender<BTreeSet<String>>,
     /// Metrics for the operators.
     pub metrics: Metrics,
     /// Client for the leader of the voters' group.
@@ -163,8 +163,8 @@
             session,
             dialect,
             pool: Pool::default(),
-            reach: reach::Shared::new(Instant::now()),
-            kept_dead: watch::Sender::new(false),
+            reach: reach::Shared::default(),
+            dead_services: watch::Sender::default(),
             metrics: Metrics::default(),
             leader,
             last_notice_at: watch::Sender::new(None),
--- a/crates/tanagershift/src/gateway/reach.rs
+++ b/crates/tanagershift/src/gateway/reach.rs
@@ -3,6 +3,8 @@
 //! A host whose own connections fail cannot tell by itself whether the upstreams are gone or its links
 //! are. An upstream that another host reaches is alive, so the own link is at fault. Connections to it
 //! then go through other hosts, and once several links are at fault, so do all new connections.
+//!
+//! The links to the upstreams of each service are judged apart, since a cut may concern one service only.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -51,11 +53,11 @@
     failed_until: Option<Instant>,
 }
 
-/// What is known about connections to upstreams.
+/// What is known about connections to the upstreams of one service.
 #[derive(Debug)]
-pub struct Reach {
+struct Links {
     /// When each link failed first and last, by address of the upstream.
-    failed_links: BTreeMap<String, (Instant, Instant)>,
+    failed: BTreeMap<String, (Instant, Instant)>,
     /// Links that failed since anything was heard over another one.
     failed_in_silence: BTreeSet<String>,
     cut_off_since: Option<Instant>,
@@ -66,38 +68,23 @@
     in_use: BTreeMap<String, u32>,
     next_check: Instant,
     check_interval: Duration,
-    helpers: Vec<KnownHelper>,
 }
 
-impl Reach {
-    /// Makes the state of a host that has just started.
-    pub fn new(now: Instant) -> Self {
+impl Links {
+    fn new(now: Instant) -> Self {
         Self {
-            failed_links: BTreeMap::new(),
+            failed: BTreeMap::new(),
             failed_in_silence: BTreeSet::new(),
             cut_off_since: None,
             heard_at: now,
             in_use: BTreeMap::new(),
             next_check: now,
             check_interval: SILENCE_LIMIT,
-            helpers: Vec::new(),
         }
     }
 
-    /// Whether the host is cut off from the upstreams.
-    pub fn is_cut_off(&self) -> bool {
-        self.cut_off_since.is_some()
-    }
-
-    /// How long the host has been cut off; `None` if it is not.
-    pub fn cut_off_for(&self, now: Instant) -> Option<Duration> {
-        self.cut_off_since.map(|since| now - since)
-    }
-
-    /// Since when new connections to an upstream go through other hosts; `None` if they do not. Kept
-    /// connections over which an answer has come since are known to work.
-    pub fn distrusted_since(&self, address: &str, now: Instant) -> Option<Instant> {
-        let failed = self.failed_links.get(address);
+    fn distrusted_since(&self, address: &str, now: Instant) -> Option<Instant> {
+        let failed = self.failed.get(address);
         let failed = failed.filter(|(_, last)| now < *last + LINK_TTL);
         let failed_since = failed.map(|(first, _)| *first);
         match (failed_since, self.cut_off_since) {
@@ -106,27 +93,22 @@
         }
     }
 
-    /// Records that an own connection was made to an upstream.
-    pub fn record_connected(&mut self, address: &str, now: Instant) -> Option<Change> {
-        self.failed_links.remove(address);
+    fn record_connected(&mut self, address: &str, now: Instant) -> Option<Change> {
+        self.failed.remove(address);
         self.record_heard(now);
         let since = self.cut_off_since.take()?;
-        self.failed_links.clear();
         Some(Change::Restored { after: now - since })
     }
 
-    /// Records that bytes of an upstream arrived over an own connection.
-    pub fn record_heard(&mut self, now: Instant) {
+    fn record_heard(&mut self, now: Instant) {
         self.heard_at = now;
         self.check_interval = SILENCE_LIMIT;
         self.failed_in_silence.clear();
     }
 
-    /// Records that an upstream that could not be reached was reached through another host.
-    pub fn record_detour(&mut self, address: &str, now: Instant) -> Option<Change> {
-        self.failed_links
-            .retain(|_, (_, last)| now < *last + LINK_TTL);
-        let link = self.failed_links.entry(address.to_owned());
+    fn record_detour(&mut self, address: &str, now: Instant) -> Option<Change> {
+        self.failed.retain(|_, (_, last)| now < *last + LINK_TTL);
+        let link = self.failed.entry(address.to_owned());
         link.or_insert((now, now)).1 = now;
         self.failed_in_silence.insert(address.to_owned());
         let links = self.failed_in_silence.len();
@@ -138,7 +120,6 @@
         Some(Change::CutOff { links, silence })
     }
 
-    /// Counts an own connection that is taken into use.
     fn begin_use(&mut self, address: &str, now: Instant) {
         if self.in_use.is_empty() {
             self.heard_at = now;
@@ -146,7 +127,6 @@
         *self.in_use.entry(address.to_owned()).or_default() += 1;
     }
 
-    /// Counts an own connection that is no longer used.
     fn end_use(&mut self, address: &str) {
         if let Some(count) = self.in_use.get_mut(address) {
             *count -= 1;
@@ -156,27 +136,107 @@
         }
     }
 
-    /// Whether own connections are in use and none of them has carried a byte for a while.
-    pub fn is_silent(&self, now: Instant) -> bool {
+    fn is_silent(&self, now: Instant) -> bool {
         !self.in_use.is_empty() && now >= self.heard_at + SILENCE_LIMIT
     }
 
-    /// Whether the connections that the host has kept are dead as well, so that what waits for an answer
-    /// over them waits in vain.
-    pub fn are_kept_dead(&self, now: Instant) -> bool {
-        self.is_cut_off() && self.is_silent(now)
+    fn are_kept_dead(&self, now: Instant) -> bool {
+        self.cut_off_since.is_some() && self.is_silent(now)
     }
 
-    /// Upstreams whose links are to be checked now: two of those in use, if all own connections are
-    /// silent. Checks become rarer while the silence lasts.
-    pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
-        if self.is_cut_off() || now < self.next_check || !self.is_silent(now) {
+    fn due_checks(&mut self, now: Instant) -> Vec<String> {
+        if self.cut_off_since.is_some() || now < self.next_check || !self.is_silent(now) {
             return Vec::new();
         }
         self.next_check = now + self.check_interval;
         self.check_interval = (self.check_interval * 2).min(MAX_CHECK_INTERVAL);
         self.in_use.keys().take(MIN_FAILED_LINKS).cloned().collect()
     }
+}
+
+/// What is known about connections to upstreams.
+#[derive(Debug, Default)]
+pub struct Reach {
+    services: BTreeMap<String, Links>,
+    helpers: Vec<KnownHelper>,
+}
+
+impl Reach {
+    fn links(&mut self, service: &str, now: Instant) -> &mut Links {
+        let links = self.services.entry(service.to_owned());
+        links.or_insert_with(|| Links::new(now))
+    }
+
+    /// Whether the host is cut off from the upstreams of any service.
+    pub fn is_cut_off(&self) -> bool {
+        let mut services = self.services.values();
+        services.any(|links| links.cut_off_since.is_some())
+    }
+
+    /// Whether the host is cut off from the upstreams of a service.
+    pub fn is_cut_off_from(&self, service: &str) -> bool {
+        let links = self.services.get(service);
+        links.is_some_and(|links| links.cut_off_since.is_some())
+    }
+
+    /// Services from whose upstreams the host is cut off.
+    pub fn lost_services(&self) -> Vec<String> {
+        let lost = self
+            .services
+            .iter()
+            .filter(|(_, links)| links.cut_off_since.is_some());
+        lost.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// How long the host has been cut off from the upstreams of any service; `None` if it is not.
+    pub fn cut_off_for(&self, now: Instant) -> Option<Duration> {
+        let since = self.services.values().filter_map(|one| one.cut_off_since);
+        since.min().map(|since| now - since)
+    }
+
+    /// Since when new connections to an upstream go through other hosts; `None` if they do not. Kept
+    /// connections over which an answer has come since are known to work.
+    pub fn distrusted_since(&self, service: &str, address: &str, now: Instant) -> Option<Instant> {
+        let links = self.services.get(service)?;
+        links.distrusted_since(address, now)
+    }
+
+    /// Records that an own connection was made to an upstream.
+    pub fn record_connected(
+        &mut self,
+        service: &str,
+        address: &str,
+        now: Instant,
+    ) -> Option<Change> {
+        self.links(service, now).record_connected(address, now)
+    }
+
+    /// Records that bytes of an upstream arrived over an own connection.
+    pub fn record_heard(&mut self, service: &str, now: Instant) {
+        self.links(service, now).record_heard(now);
+    }
+
+    /// Records that an upstream that could not be reached was reached through another host.
+    pub fn record_detour(&mut self, service: &str, address: &str, now: Instant) -> Option<Change> {
+        self.links(service, now).record_detour(address, now)
+    }
+
+    /// Services over whose kept connections nothing can arrive any more: the host is cut off, and none of
+    /// those in use has carried a byte for a while. What waits for an answer there waits in vain.
+    pub fn dead_services(&self, now: Instant) -> BTreeSet<String> {
+        let dead = self
+            .services
+            .iter()
+            .filter(|(_, links)| links.are_kept_dead(now));
+        dead.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Upstreams whose links are to be checked now: two of those in use by each service of which all own
+    /// connections are silent. Checks become rarer while the silence lasts.
+    pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
+        let services = self.services.values_mut();
+        services.flat_map(|links| links.due_checks(now)).collect()
+    }
 
     /// Replaces the hosts that may help.
     pub fn set_helpers(&mut self, helpers: &[Helper]) {
@@ -222,25 +282,21 @@
 }
 
 /// State that the connections of a gateway share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Shared(Arc<Mutex<Reach>>);
 
 impl Shared {
-    /// Makes the state of a host that has just started.
-    pub fn new(now: Instant) -> Self {
-        Self(Arc::new(Mutex::new(Reach::new(now))))
-    }
-
     /// Locks the state.
     pub fn lock(&self) -> MutexGuard<'_, Reach> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Counts an own connection as used until the guard is dropped.
-    pub fn begin_use(&self, address: &str, now: Instant) -> UseGuard {
-        self.lock().begin_use(address, now);
+    pub fn begin_use(&self, service: &str, address: &str, now: Instant) -> UseGuard {
+        self.lock().links(service, now).begin_use(address, now);
         UseGuard {
             shared: self.clone(),
+            service: service.to_owned(),
             address: address.to_owned(),
         }
     }
@@ -259,19 +315,22 @@
 #[derive(Debug)]
 pub struct UseGuard {
     shared: Shared,
+    service: String,
     address: String,
 }
 
 impl UseGuard {
     /// Records that bytes arrived.
     pub fn record_heard(&self, now: Instant) {
-        self.shared.lock().record_heard(now);
+        self.shared.lock().record_heard(&self.service, now);
     }
 }
 
 impl Drop for UseGuard {
     fn drop(&mut self) {
-        self.shared.lock().end_use(&self.address);
+        if let Some(links) = self.shared.lock().services.get_mut(&self.service) {
+            links.end_use(&self.address);
+        }
     }
 }
 
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -142,9 +142,9 @@
     job: &Job,
     response: &UpstreamResponse,
 ) -> Option<Pin<Box<dyn Future<Output = ()> + Send>>> {
-    let gateway = gateway.clone();
+    let (gateway, service) = (gateway.clone(), job.service.clone());
     may_abandon(job, &response.connection)
-        .then(|| Box::pin(async move { gateway.kept_dead().await }) as _)
+        .then(|| Box::pin(async move { gateway.kept_dead(&service).await }) as _)
 }
 
 fn silence_limit() -> Pin<Box<Sleep>> {
@@ -357,7 +357,7 @@
         let report = broken.map(|(upstream, progress)| {
             let name = &upstream.name;
             // What breaks at a host that is cut off says nothing about the upstream.
-            if !self.gateway.reach.lock().is_cut_off() {
+            if !self.gateway.reach.lock().is_cut_off_from(&self.job.service) {
                 self.gateway.view().record_failure(name, Instant::now());
             }
             self.gateway.log_broken(&self.job, name, &progress, reason);
--- a/crates/tanagershift/src/gateway/tunnel.rs
+++ b/crates/tanagershift/src/gateway/tunnel.rs
@@ -137,20 +137,16 @@
 async fn connect(gateway: &Gateway, tunnel: &Tunnel) -> Result<TcpStream, TunnelOutcome> {
     let Tunnel { upstream, address } = tunnel;
     let is_full = gateway.metrics.open_tunnels.get() >= MAX_TUNNELS;
-    if is_full || gateway.is_draining() || gateway.reach.lock().is_cut_off() {
+    if is_full || gateway.is_draining() {
         return Err(TunnelOutcome::Unable);
     }
-    let now = Instant::now();
-    {
-        let view = gateway.view();
-        // Other hosts get no connection to anything but upstreams.
-        let listed = view.upstream(upstream);
-        if listed.is_none_or(|one| one.address != *address) {
-            return Err(TunnelOutcome::Unable);
-        }
-        if view.admission.access(upstream, now) != Access::Open {
-            return Err(TunnelOutcome::Unable);
-        }
+    let access = gateway.view().admission.access(upstream, Instant::now());
+    // Other hosts get no connection to anything but upstreams.
+    let listed = gateway.view().upstream(upstream);
+    let listed = listed.filter(|one| one.address == *address && access == Access::Open);
+    let listed = listed.ok_or(TunnelOutcome::Unable)?;
+    if gateway.reach.lock().is_cut_off_from(&listed.service) {
+        return Err(TunnelOutcome::Unable);
     }
     let connected = connect_tcp(address, gateway.pool.source);
     let connected = timeout(CONNECT_TIMEOUT, connected).await;
@@ -158,7 +154,7 @@
         .ok()
         .and_then(Result::ok)
         .ok_or(TunnelOutcome::Unreachable)?;
-    gateway.record_connected(address);
+    gateway.record_connected(&listed);
     connection::set_socket_options(&stream).map_err(|_| TunnelOutcome::Unable)?;
     Ok(stream)
 }
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -261,11 +261,11 @@
         Some(known.upstream.clone())
     }
 
-    /// Returns any of the listed upstreams; `None` if there is none.
-    pub fn random_upstream(&self) -> Option<Arc<Upstream>> {
-        let count = self.upstreams.len();
-        let known = (count > 0).then(|| rand::random_range(0..count));
-        let known = self.upstreams.values().nth(known?)?;
+    /// Returns any of the listed upstreams of a service; `None` if there is none.
+    pub fn random_upstream(&self, service: &str) -> Option<Arc<Upstream>> {
+        let count = self.upstreams_of(service).count();
+        let at = (count > 0).then(|| rand::random_range(0..count))?;
+        let known = self.upstreams_of(service).nth(at)?;
         Some(known.upstream.clone())
     }
 
