gateway: a refusal counts only if it names the request

Cause: an answer without a request id was believed if it refused. Replicas name the request in every answer, so one that names none proves nothing. Change: it is an attempt that may have run, and its connection is dropped, as for answers that name another request. A request is not sent to a replica that refused it, so it cannot meet the copy of its own refusal. Before: a_refusal_that_names_no_request_proves_nothing got 503 for a request that had arrived.

--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -373,12 +373,14 @@
         view.record_load(name, running, waiting, now);
     }
     let matches_request = response.parsed_head.id.as_deref() == Some(job.head.id.as_str());
-    if response.parsed_head.id.is_some() && !matches_request {
+    let refuses = response.parsed_head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    // A refusal without an id may be a copy of an earlier one on the same connection.
+    if !matches_request && (refuses || response.parsed_head.id.is_some()) {
         view.record_failure(name, now);
-        let reason = "the answer belongs to another request".to_owned();
+        let reason = "the answer does not belong to the request".to_owned();
         return Err(FailedAttempt::after_sending(reason));
     }
-    if response.parsed_head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+    if refuses {
         if status == StatusCode::MISDIRECTED_REQUEST {
             // The replica lacks the adapter, or another replica now has the address.
             let instance = response.parsed_head.instance.as_deref();
