software: a host out of step does not take up streams by what it last knew

Cause: without a leader, a gateway took the baseline for the version of every stream as long as its own list named no other version, however old that list was; and it measured the age of the list with a clock that stops while the host is suspended. Ages of list and connections count suspension.

--- a/crates/tanagershift/src/clock.rs
+++ b/crates/tanagershift/src/clock.rs
@@ -31,7 +31,12 @@
 
 /// The current time.
 pub fn now() -> Instant {
-    Instant::now() + suspended()
+    corrected(Instant::now())
+}
+
+/// The time of this clock at a time of the runtime's clock since which the host was not suspended.
+pub fn corrected(time: Instant) -> Instant {
+    time + suspended()
 }
 
 /// Waits until a time of this clock.
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -13,7 +13,7 @@
     settings::Config,
     upstream_list,
 };
-use crate::{link::Call, wire::Body};
+use crate::{clock, link::Call, wire::Body};
 
 /// Maximum time to find the leader and receive the first notice of a watch.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
@@ -251,12 +251,14 @@
                 continue;
             }
             let hosts = self.gateway.view().hosts.max(1);
+            let read_at = clock::now();
             match upstream_list::read(&self.gateway, &self.config.list_address).await {
                 Ok(upstreams) => {
                     number += 1;
                     log::info!("event=list.own upstreams={}", upstreams.len());
                     let list = List { number, upstreams };
-                    self.gateway.view().apply_list(&list, Instant::now());
+                    let now = Instant::now();
+                    self.gateway.view().apply_list(&list, read_at, now);
                     self.gateway
                         .placement_changes
                         .send_modify(|number| *number += 1);
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -24,7 +24,7 @@
 };
 
 use super::reach::{self, DetourGuard, UseGuard};
-use crate::{holder::engine::error_chain, verdict::Verdict};
+use crate::{clock, holder::engine::error_chain, verdict::Verdict};
 
 /// Longest time to connect. A replica in the region answers within a few milliseconds; a lost SYN is
 /// sent again after a second.
@@ -180,7 +180,7 @@
             address: address.to_owned(),
             sender,
             used: false,
-            opened_at: Instant::now(),
+            opened_at: clock::now(),
             usage: None,
             detour: None,
         })
@@ -228,7 +228,7 @@
         self.used
     }
 
-    /// When the connection was opened. The upstream has not started again since.
+    /// When the connection was opened, by [`clock::now`]. The upstream has not started again since.
     pub fn opened_at(&self) -> Instant {
         self.opened_at
     }
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -12,7 +12,7 @@
     forward::{MIN_SERVICE_TIME, Rejection, STARTUP_WAIT, Trace},
     quarantine::Standing,
 };
-use crate::{admission::Access, id, link::Call};
+use crate::{admission::Access, clock, id, link::Call};
 
 /// Longest wait for a change in adapter placement before an upstream is selected again.
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
@@ -129,10 +129,7 @@
         if let Some(selected) = ask_leader(gateway, job, resumption, trace).await? {
             return Ok(Some(selected));
         }
-        let is_new = job.route.resumable && resumption.software.is_none();
-        let may_differ =
-            is_new && trace.may_be_recorded && gateway.view().has_other_software(&job.service);
-        if !may_differ {
+        if !needs_leader(gateway, job, resumption, trace) {
             return Ok(None);
         }
         let lost_at = *lost_at.get_or_insert_with(Instant::now);
@@ -140,17 +137,34 @@
         // However the wait ends, the leader is asked again if there is time.
         let _ = timeout_at(until, notices.changed()).await;
         if Instant::now() >= until {
-            return Err(Rejection::retry_later(UNKNOWN_SOFTWARE_REASON));
+            return match needs_leader(gateway, job, resumption, trace) {
+                true => Err(Rejection::retry_later(UNKNOWN_SOFTWARE_REASON)),
+                false => Ok(None),
+            };
         }
     }
 }
 
+/// Whether only a leader can know the software version of a stream: one may have recorded it, or it may
+/// have begun at a replica that this host has not heard of.
+fn needs_leader(gateway: &Gateway, job: &Job, resumption: &Resumption, trace: &Trace) -> bool {
+    if !job.route.resumable || resumption.software.is_some() {
+        return false;
+    }
+    let view = gateway.view();
+    let may_be_recorded = trace.may_be_recorded && view.has_other_software(&job.service);
+    // If the host was suspended meanwhile, this is later than the arrival of the request.
+    let arrived_at = clock::now() - job.received_at.elapsed();
+    let may_be_unknown = job.head.continues_stream() && !view.has_list_since(arrived_at);
+    may_be_recorded || may_be_unknown
+}
+
 /// Waits until the list is current, from a leader or by a reading of this gateway. Returns whether it is.
 pub async fn await_current_list(gateway: &Gateway, job: &Job) -> bool {
     let until = job.deadline.min(Instant::now() + LEADER_WAIT);
     let mut notices = gateway.last_notice_at.subscribe();
     let mut changes = gateway.placement_changes.subscribe();
-    while !gateway.view().confirms_run(Instant::now()) {
+    while !gateway.view().confirms_run(clock::now()) {
         let heard = async {
             // Fail only while the process ends.
             tokio::select! {
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -387,7 +387,7 @@
         view.admission.record_leaving("r1", Origin::Answer, now);
         for (number, names) in [(2, &["r2"][..]), (3, &["r1", "r2"])] {
             let upstreams = names.iter().map(|name| upstream(name, "a")).collect();
-            view.apply_list(&List { number, upstreams }, now);
+            view.apply_list(&List { number, upstreams }, now, now);
         }
         let residencies = vec![residency("r1", 1)];
         view.apply(
@@ -524,7 +524,7 @@
                 number: 1,
                 upstreams: Vec::new(),
             };
-            view.apply_list(&list, began);
+            view.apply_list(&list, began, began);
             view.apply(&Notice::default(), began + Duration::from_millis(at));
         }
         let opened_at = began + Duration::from_millis(opened_at_ms);
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -15,7 +15,7 @@
     message::{Baseline, Counts, Demand, List, Notice, Pause, Residency, ServiceDemand, Upstream},
     placement::FIRST_VERSION,
 };
-use crate::{admission::Admission, id};
+use crate::{admission::Admission, clock, id};
 
 /// Share of the version bound during which requests may still be sent to the older version after an
 /// announcement. A request must begin to run before the bound, and it may first wait in the queue of
@@ -107,7 +107,8 @@
     /// Upstreams that accepted no connection since the previous tally.
     unreachable: BTreeSet<id::Upstream>,
     list_number: u64,
-    /// When the list was last known to be current; `None` before the first.
+    /// When the list was last known to be current, by [`clock::now`], which counts suspension; `None`
+    /// before the first.
     list_confirmed_at: Option<Instant>,
     /// Upstream names in the order of the list.
     list_order: Vec<id::Upstream>,
@@ -136,11 +137,11 @@
     /// Applies a notice of the leader, except for its configuration.
     pub fn apply(&mut self, notice: &Notice, now: Instant) {
         if let Some(list) = &notice.list {
-            self.apply_list(list, now);
+            self.apply_list(list, clock::corrected(now), now);
         }
         // The leader sends each change at once.
         if self.has_list() {
-            self.list_confirmed_at = Some(now);
+            self.list_confirmed_at = Some(clock::corrected(now));
         }
         if notice.is_snapshot {
             self.residencies.clear();
@@ -178,8 +179,8 @@
     }
 
     /// Replaces the upstream list. Upstreams that are no longer listed are dropped together with
-    /// their residencies.
-    pub fn apply_list(&mut self, list: &List, now: Instant) {
+    /// their residencies. `read_at` is when the list was read, by [`clock::now`].
+    pub fn apply_list(&mut self, list: &List, read_at: Instant, now: Instant) {
         let mut known = std::mem::take(&mut self.upstreams);
         for upstream in &list.upstreams {
             let mut entry = known
@@ -195,7 +196,7 @@
             self.upstreams.insert(upstream.name.clone(), entry);
         }
         self.list_number = list.number;
-        self.list_confirmed_at = Some(now);
+        self.list_confirmed_at = Some(read_at);
         self.list_order = list
             .upstreams
             .iter()
@@ -242,7 +243,13 @@
         self.list_number > 0
     }
 
-    /// Whether a connection that was opened at a time leads to the listed run of its upstream.
+    /// Whether the list was known to be current at a time of [`clock::now`], or later.
+    pub fn has_list_since(&self, time: Instant) -> bool {
+        self.list_confirmed_at.is_some_and(|at| at >= time)
+    }
+
+    /// Whether a connection that was opened at a time of [`clock::now`] leads to the listed run of its
+    /// upstream.
     pub fn confirms_run(&self, opened_at: Instant) -> bool {
         let confirmed_at = self.list_confirmed_at;
         confirmed_at.is_some_and(|at| opened_at < at + RESTART_TIME)
