--- a/crates/tanagershift/src/gateway/connect.rs
+++ b/crates/tanagershift/src/gateway/connect.rs
@@ -41,7 +41,10 @@
         let distrusted_since = self.reach.lock().distrusted_since(service, address, now);
         let idle = match distrusted_since {
             None => self.pool.take_own(address, now),
-            Some(since) => self.pool.take_proven(address, since, now),
+            Some(since) => {
+                let helpers = self.reach.lock().helpers(now);
+                self.pool.take_proven(address, since, &helpers, now)
+            }
         };
         let mut connection = match idle {
             Some(connection) => connection,
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -293,10 +293,18 @@
     }
 
     /// Takes an idle connection that works although new ones of this host's own have failed since a
-    /// time: one that has carried an answer since, or one through another host.
-    pub fn take_proven(&self, address: &str, since: Instant, now: Instant) -> Option<Connection> {
-        self.take(address, now, |idle| {
-            idle.connection.is_detour() || idle.idle_since >= since
+    /// time: one that has carried an answer since, or one through a host of `helpers`. Those that shut
+    /// down are not among them.
+    pub fn take_proven(
+        &self,
+        address: &str,
+        since: Instant,
+        helpers: &[String],
+        now: Instant,
+    ) -> Option<Connection> {
+        self.take(address, now, |idle| match &idle.connection.detour {
+            Some(detour) => helpers.iter().any(|helper| helper == detour.helper()),
+            None => idle.idle_since >= since,
         })
     }
 
--- a/crates/tanagershift/src/gateway/reach.rs
+++ b/crates/tanagershift/src/gateway/reach.rs
@@ -341,6 +341,13 @@
     helper: String,
 }
 
+impl DetourGuard {
+    /// Address of the helper.
+    pub fn helper(&self) -> &str {
+        &self.helper
+    }
+}
+
 impl Drop for DetourGuard {
     fn drop(&mut self) {
         self.shared.lock().count_helper(&self.helper, false);
