--- a/crates/tanagershift/src/gateway/hub/helpers.rs
+++ b/crates/tanagershift/src/gateway/hub/helpers.rs
@@ -23,6 +23,32 @@
 /// Time between two attempts to hand over.
 const HAND_OVER_INTERVAL: Duration = Duration::from_secs(2);
 
+/// When helpers are selected, and when leadership may be handed over.
+#[derive(Debug)]
+pub(super) struct State {
+    /// Whether the hosts that can help others have changed.
+    pub(super) differ: bool,
+    /// Earliest time at which helpers are selected again.
+    next_selection: Instant,
+    /// Earliest time at which leadership is handed over again.
+    next_hand_over: Instant,
+}
+
+impl State {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            differ: false,
+            next_selection: now,
+            next_hand_over: now,
+        }
+    }
+
+    /// When helpers are selected next; `None` if none need to be.
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        self.differ.then_some(self.next_selection)
+    }
+}
+
 impl LeaderState {
     /// Records whether a gateway can help others.
     pub(super) fn record_reach(&mut self, host: &str, reach: &ReachReport) {
@@ -30,17 +56,17 @@
             && gateway.reach != *reach
         {
             gateway.reach = reach.clone();
-            self.helpers_differ = true;
+            self.helpers.differ = true;
         }
     }
 
     /// Sends the gateways whose helpers have changed the new ones.
     pub(super) fn spread_helpers(&mut self, now: Instant) {
-        if !self.helpers_differ || now < self.next_helpers {
+        if !self.helpers.differ || now < self.helpers.next_selection {
             return;
         }
-        self.helpers_differ = false;
-        self.next_helpers = now + SELECT_INTERVAL;
+        self.helpers.differ = false;
+        self.helpers.next_selection = now + SELECT_INTERVAL;
         let able = self.gateways.iter().filter(|(_, gateway)| {
             let reach = &gateway.reach;
             !gateway.address.is_empty() && !reach.is_cut_off && !reach.is_draining
@@ -89,14 +115,14 @@
     now: Instant,
 ) {
     let cut_off_for = gateway.reach.lock().cut_off_for(now);
-    if cut_off_for.is_none_or(|time| time < HAND_OVER_DELAY) || now < state.next_hand_over {
+    if cut_off_for.is_none_or(|time| time < HAND_OVER_DELAY) || now < state.helpers.next_hand_over {
         return;
     }
     let successors = state.reaching_voters(&gateway.host);
     if successors.is_empty() {
         return;
     }
-    state.next_hand_over = now + HAND_OVER_INTERVAL;
+    state.helpers.next_hand_over = now + HAND_OVER_INTERVAL;
     log::info!(
         "event=hub.hand_over reason=cut_off successors={}",
         successors.join(",")
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! * `actions`: sends the orders of the placement.
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
+//! * `gateways`: the gateways that the leader knows.
 //! * `helpers`: tells gateways through which hosts they can reach upstreams, and hands over leadership
 //!   where this host cannot.
 //! * `queue`: queues gateways' requests for a replica and answers them.
@@ -14,6 +15,7 @@
 
 mod actions;
 mod configuration_history;
+mod gateways;
 mod helpers;
 mod limits;
 mod notices;
@@ -38,6 +40,7 @@
 
 use actions::carry_out;
 use configuration_history::ConfigurationHistory;
+use gateways::{GatewayState, Watcher};
 use helpers::hand_over_if_cut_off;
 use reachability::Checks;
 
@@ -45,10 +48,7 @@
     Gateway,
     dialect::{OrderOutcome, Report},
     limit::Limits,
-    message::{
-        Ask, Counts, Helper, Key, List, Mark, Notice, ReachReport, Residency, Tally, Upstream,
-        Watch,
-    },
+    message::{Ask, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
@@ -123,31 +123,6 @@
     }
 }
 
-/// A gateway that is subscribed to notices.
-#[derive(Debug)]
-struct Watcher {
-    host: id::Host,
-    /// Whether the gateway must still be sent all residencies.
-    needs_snapshot: bool,
-    /// Hosts through which the gateway was told that it can reach upstreams.
-    helpers: Vec<Helper>,
-    queue: mpsc::Sender<Notice>,
-}
-
-/// State that a gateway last reported.
-#[derive(Debug)]
-struct GatewayState {
-    session: u64,
-    open: Counts,
-    updated_at: Instant,
-    /// Peer address; empty until the gateway subscribes.
-    address: String,
-    /// Availability zone.
-    zone: id::Zone,
-    /// Whether the gateway can help others.
-    reach: ReachReport,
-}
-
 /// A request for a replica, waiting or assigned, whose response stream is open.
 #[derive(Debug)]
 struct ReplicaRequest {
@@ -203,12 +178,8 @@
     marks_proposal: Option<JoinHandle<()>>,
     /// Earliest time at which changed marks are proposed.
     next_marks_proposal: Instant,
-    /// Whether the hosts that can help others have changed.
-    helpers_differ: bool,
-    /// Earliest time at which helpers are selected again.
-    next_helpers: Instant,
-    /// Earliest time at which leadership is handed over because of a cut.
-    next_hand_over: Instant,
+    /// Hosts that can help others to reach upstreams.
+    helpers: helpers::State,
     /// Gateways with requests that wait for an adapter.
     waiting_gateways: BTreeMap<Adapter, BTreeSet<id::Host>>,
     /// Changes of the placement that were not yet sent to all gateways.
@@ -312,8 +283,8 @@
         if state.software.is_due(Instant::now()) {
             wake = wake.min(Instant::now());
         }
-        if state.helpers_differ {
-            wake = wake.min(state.next_helpers);
+        if let Some(due) = state.helpers.next_due() {
+            wake = wake.min(due);
         }
         if state.marks_differ {
             wake = wake.min(state.next_marks_proposal);
@@ -433,9 +404,7 @@
             removed_marks: BTreeSet::new(),
             marks_proposal: None,
             next_marks_proposal: now,
-            helpers_differ: false,
-            next_helpers: now,
-            next_hand_over: now,
+            helpers: helpers::State::new(now),
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
             next_notice: now,
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -88,7 +88,7 @@
                 reach: ReachReport::default(),
             },
         );
-        self.helpers_differ = true;
+        self.helpers.differ = true;
         let notices = NoticeStream {
             queue: receiver,
             configurations: self.configuration.subscribe(),
@@ -280,7 +280,7 @@
         let known = self.gateways.len();
         self.gateways
             .retain(|_, gateway| now < gateway.updated_at + GATEWAY_TIMEOUT);
-        self.helpers_differ |= self.gateways.len() < known;
+        self.helpers.differ |= self.gateways.len() < known;
         let mut counts = vec![0_u32; self.list.upstreams.len()];
         let current = self.gateways.values().map(|gateway| &gateway.open);
         for open in current.filter(|open| open.list == self.list.number) {
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod connection;
 pub mod control;
 pub mod daemon;
+mod detour_message;
 pub mod dialect;
 pub mod event_stream;
 pub mod exchange;
