--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,5 +1,5 @@
-//! A host that is cut off from the replicas reaches them through other hosts. One of those is killed
-//! while it passes answers on that have neither a length nor chunks.
+//! A host that is cut off from the replicas reaches them through other hosts. A replica resets some of its
+//! answers, which have neither a length nor chunks, in the middle.
 
 #[path = "../common/mod.rs"]
 mod common;
@@ -9,107 +9,74 @@
     net::TcpStream,
     path::Path,
     process::ExitCode,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
 
 use common::{
-    Record, Site, address,
-    engine::Engine,
+    Site, address,
     http::{self, Answer},
     manifest::{entry, manifest, page},
-    replica::{Request, Server, answer, head, wait},
+    replica::{Request, Server, answer, head, reset, wait},
 };
 
 const HOSTS: u8 = 5;
 /// The host that is cut off: the only one of its zone.
 const CUT: u8 = 3;
-/// The host that is killed; it has no disk.
-const KILLED: u8 = 4;
-const ENGINES: u8 = 4;
+/// A host that reaches the replicas; its clients send the same.
+const OTHER: u8 = 1;
 const DESKS: u8 = 3;
-/// Requests of each kind.
-const REQUESTS: usize = 24;
-const EVENTS: u64 = 40;
-const EVENT_GAP: Duration = Duration::from_millis(100);
-const LOOKUP_TIME: Duration = Duration::from_millis(2500);
+/// The replica that resets answers, one of three, and of how many requests it resets one.
+const SPOILS: u8 = 0;
+const ONE_OF: usize = 20;
+const REQUESTS: usize = 1200;
 const BORN: u64 = 1_765_000_000_000;
 
-fn event(number: u64) -> String {
-    format!("id: {number}\ndata: piece {number}\n\n")
-}
-
-fn lookup_half(id: &str, half: u8) -> String {
+fn half(id: &str, half: u8) -> String {
     format!("{:-<400}", format!("half {half} of the roster for {id} "))
 }
 
-/// A model replica: a stream without a length.
-fn notes(request: &Request, stream: &mut TcpStream, record: &Record, name: &str) -> bool {
-    let id = request.id();
-    record.line(format!("{name} runs {id} from host {}", request.host));
-    let headers = [
-        ("content-type", "text/event-stream"),
-        ("tanagershift-request-id", id),
-        ("tanagershift-server-stamp", name),
-        ("connection", "close"),
-    ];
-    let mut sent = stream.write_all(head(200, &headers).as_bytes()).is_ok();
-    for number in 1..=EVENTS {
-        if !sent || !wait(stream, EVENT_GAP) {
-            record.line(format!("{name}: the sender of {id} left before event {number}"));
-            return false;
-        }
-        sent = stream.write_all(event(number).as_bytes()).is_ok();
-    }
-    record.line(format!("{name} has sent all of {id}"));
-    false
-}
-
-/// A replica of the plain service: an answer without a length, in two halves.
-fn lookup(request: &Request, stream: &mut TcpStream, record: &Record, name: &str) -> bool {
-    let id = request.id();
-    record.line(format!("{name} runs {id} from host {}", request.host));
-    let headers = [
-        ("tanagershift-request-id", id),
-        ("tanagershift-server-stamp", name),
-        ("connection", "close"),
-    ];
-    let begun = head(200, &headers) + &lookup_half(id, 1);
-    if stream.write_all(begun.as_bytes()).is_err() || !wait(stream, LOOKUP_TIME) {
-        record.line(format!("{name}: the sender of {id} left before the second half"));
-        return false;
-    }
-    stream.write_all(lookup_half(id, 2).as_bytes()).ok();
-    record.line(format!("{name} has sent all of {id}"));
-    false
-}
-
 fn main() -> ExitCode {
     let site = Arc::new(Site::prepare(Path::new("review/1")));
     let mut servers = Vec::new();
     let mut entries = Vec::new();
-    for number in 0..ENGINES + DESKS {
+    let resets = Arc::new(AtomicUsize::new(0));
+    for number in 0..DESKS {
         let at = address(20 + number, site.base);
         let name = format!("i-{number}");
-        let zone = ["andes-a", "andes-b", "andes-c"][usize::from(number) % 3];
-        let (engine, record, own) = (Engine::default(), site.record.clone(), name.clone());
-        let is_engine = number < ENGINES;
-        let server = Server::start(
-            at,
-            Arc::new(move |request, stream| match is_engine {
-                true => engine
-                    .answer(request, BORN, stream)
-                    .unwrap_or_else(|| notes(request, stream, &record, &own)),
-                false => lookup(request, stream, &record, &own),
-            }),
-        );
-        servers.push(server);
-        let (service, slots) = match is_engine {
-            true => ("tutor-assistant", 64),
-            false => ("studio-desk", 6),
+        let zone = ["andes-a", "andes-b", "andes-c"][usize::from(number)];
+        entries.push(entry(&name, "studio-desk", &at.to_string(), zone, 6, "v1", BORN));
+        let (record, resets) = (site.record.clone(), resets.clone());
+        let spoils = site.trouble && number == SPOILS;
+        let handler = move |request: &Request, stream: &mut TcpStream| {
+            let (id, host) = (request.id(), request.host);
+            let headers = [
+                ("tanagershift-request-id", id),
+                ("tanagershift-server-stamp", name.as_str()),
+                ("tanagershift-instance-id", name.as_str()),
+                ("connection", "close"),
+            ];
+            let number: usize = id.trim_start_matches("lookup").parse().unwrap_or(0);
+            let begun = head(200, &headers) + &half(id, 1);
+            if stream.write_all(begun.as_bytes()).is_err() || !wait(stream, Duration::from_millis(15)) {
+                record.line(format!("{name}: the sender of {id} left, host {host}"));
+                return false;
+            }
+            if spoils && number / 2 % ONE_OF == 0 {
+                resets.fetch_add(1, Ordering::Relaxed);
+                record.line(format!("{name} resets {id} from host {host} after half of it"));
+                reset(stream);
+                return false;
+            }
+            stream.write_all(half(id, 2).as_bytes()).ok();
+            record.line(format!("{name} has sent all of {id} to host {host}"));
+            false
         };
-        entries.push(entry(&name, service, &at.to_string(), zone, slots, "v1", BORN));
+        servers.push(Server::start(at, Arc::new(handler)));
     }
     let list = page(&entries);
     let _list = Server::start(
@@ -127,72 +94,55 @@
     }
     // `contactMs`, from which on such a host must serve.
     thread::sleep(Duration::from_secs(3));
-    let answers: Arc<Mutex<Vec<(String, Answer)>>> = Arc::default();
+    let answers: Arc<Mutex<Vec<(u8, String, Answer)>>> = Arc::default();
     let mut clients = Vec::new();
-    for number in 0..REQUESTS * 2 {
+    for number in 0..REQUESTS {
         let (site, answers) = (site.clone(), answers.clone());
         clients.push(thread::spawn(move || {
-            let is_stream = number % 2 == 0;
-            let id = format!("{}{number}", if is_stream { "notes" } else { "lookup" });
-            let mut headers = vec![
+            let id = format!("lookup{number}");
+            let host = if number % 2 == 0 { CUT } else { OTHER };
+            let headers = [
                 ("host", "academy.example"),
                 ("tanagershift-request-id", id.as_str()),
-                ("tanagershift-deadline-ms", "8000"),
+                ("tanagershift-deadline-ms", "2500"),
             ];
-            let (method, path) = match is_stream {
-                true => {
-                    headers.push(("tanagershift-model", "m0"));
-                    headers.push(("tanagershift-token-usage", "100,120"));
-                    ("POST", "/notes/x")
-                }
-                false => ("GET", "/lookup/x"),
-            };
-            let limit = Duration::from_secs(9);
-            let got = http::call(site.front(CUT), method, path, &headers, "", limit);
+            let limit = Duration::from_secs(4);
+            let got = http::call(site.front(host), "GET", "/lookup/x", &headers, "", limit);
             site.record.line(format!(
-                "the client of {id} has status {:?}, {} bytes, whole: {}, stamp {:?} {}",
+                "the client of {id} at host {host} has status {:?}, {} bytes, whole: {}, stamp {:?} {}",
                 got.status,
                 got.body.len(),
                 got.whole,
                 got.header("tanagershift-server-stamp"),
                 got.error,
             ));
-            answers.lock().unwrap().push((id, got));
+            answers.lock().unwrap().push((host, id, got));
         }));
-        thread::sleep(Duration::from_millis(20));
-    }
-    thread::sleep(Duration::from_millis(300));
-    if site.trouble {
-        site.kill_host(KILLED);
-        thread::sleep(Duration::from_secs(1));
-        site.start_host(KILLED);
+        thread::sleep(Duration::from_millis(6));
     }
     for client in clients {
         client.join().ok();
     }
     let answers = answers.lock().unwrap();
-    let served = answers.iter().filter(|(_, got)| got.status == Some(200) && got.whole);
-    let (mut whole, mut short_lookups, mut short_streams) = (0, 0, 0);
-    for (id, got) in served {
-        let is_stream = id.starts_with("notes");
-        let expected = match is_stream {
-            true => (1..=EVENTS).map(event).collect(),
-            false => lookup_half(id, 1) + &lookup_half(id, 2),
-        };
-        if got.text() == expected {
-            whole += 1;
-        } else {
-            short_lookups += usize::from(!is_stream);
-            short_streams += usize::from(is_stream);
-        }
-    }
-    let all = answers.len();
-    if whole == 0 {
+    let served = |at: u8, whole: bool| {
+        let good = answers.iter().filter(|(host, id, got)| {
+            let is_whole = got.text() == half(id, 1) + &half(id, 2);
+            *host == at && got.status == Some(200) && got.whole && is_whole == whole
+        });
+        good.count()
+    };
+    if served(CUT, true) == 0 || served(OTHER, true) == 0 {
         site.cannot_run("no request was served");
     }
     let text = format!(
-        "of {all} requests {whole} were served whole; {short_lookups} lookups and {short_streams} \
-         streams ended early and looked complete"
+        "host {CUT}: {} of {} answers whole, {} ended early and looked complete; host {OTHER}: {} whole, {} \
+         ended early and looked complete; the replica reset {} answers",
+        served(CUT, true),
+        REQUESTS / 2,
+        served(CUT, false),
+        served(OTHER, true),
+        served(OTHER, false),
+        resets.load(Ordering::Relaxed),
     );
-    site.verdict(short_lookups + short_streams > 0, &text)
+    site.verdict(served(CUT, false) + served(OTHER, false) > 0, &text)
 }
--- a/review/common/replica.rs
+++ b/review/common/replica.rs
@@ -212,7 +212,7 @@
 const SOURCE: u32 = 12;
 
 /// Closes a connection with a reset.
-fn reset(stream: &TcpStream) {
+pub fn reset(stream: &TcpStream) {
     let linger = Linger { on: 1, seconds: 0 };
     let value = (&raw const linger).cast();
     let size = size_of::<Linger>() as u32;
