--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -33,7 +33,7 @@
 /// The replica that resets answers, one of three, and of how many requests it resets one.
 const SPOILS: u8 = 0;
 const ONE_OF: usize = 20;
-const REQUESTS: usize = 1200;
+const REQUESTS: usize = 2400;
 const BORN: u64 = 1_765_000_000_000;
 
 fn half(id: &str, half: u8) -> String {
@@ -118,7 +118,7 @@
             ));
             answers.lock().unwrap().push((host, id, got));
         }));
-        thread::sleep(Duration::from_millis(6));
+        thread::sleep(Duration::from_millis(3));
     }
     for client in clients {
         client.join().ok();
