tunnel: pass an upstream's reset on as a reset

An owned write half shuts its direction down when dropped, so a FIN left before the reset.

Change: the halves are borrowed. They do nothing when dropped, and closing the socket resets it. Only an end in order is followed by a shutdown.

--- a/crates/tanagershift/src/gateway/tunnel.rs
+++ b/crates/tanagershift/src/gateway/tunnel.rs
@@ -12,7 +12,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::mpsc,
     time::{Instant, timeout},
@@ -161,9 +161,10 @@
 
 /// Passes bytes on in both directions. The end of the upstream's bytes ends the opener's connection in
 /// the same way, in order or by a reset; the end of the opener's closes the upstream's.
-async fn pass_on(opener: TcpStream, upstream: TcpStream) {
-    let (mut from_opener, mut to_opener) = opener.into_split();
-    let (mut from_upstream, mut to_upstream) = upstream.into_split();
+async fn pass_on(mut opener: TcpStream, mut upstream: TcpStream) {
+    // Unlike owned halves, borrowed ones do not shut a connection down in order when they are dropped.
+    let (mut from_opener, mut to_opener) = opener.split();
+    let (mut from_upstream, mut to_upstream) = upstream.split();
     let ended = {
         let there = copy(&mut from_opener, &mut to_upstream);
         let back = copy(&mut from_upstream, &mut to_opener);
@@ -179,24 +180,27 @@
         }
     };
     match ended {
-        Ok(()) => {
-            // Unread bytes at the time of the close would reset the connection, and the end of the
-            // answer would be lost.
-            let mut rest = [0; 64];
-            let read_rest = async {
-                let shut = to_opener.shutdown().await;
-                while shut.is_ok() && matches!(from_opener.read(&mut rest).await, Ok(1..)) {}
-            };
-            // However it ends, the connection is closed.
-            let _ = timeout(CLOSE_TIMEOUT, read_rest).await;
-        }
+        Ok(()) => close_in_order(opener).await,
         Err(_) => {
             // If it fails, the opener's connection has ended already.
-            let _ = to_opener.as_ref().set_zero_linger();
+            let _ = opener.set_zero_linger();
         }
     }
 }
 
+/// Closes a connection such that its peer reads everything that was sent on it.
+async fn close_in_order(mut stream: TcpStream) {
+    // Unread bytes at the time of the close would reset the connection, and the end of the answer
+    // would be lost.
+    let mut rest = [0; 64];
+    let read_rest = async {
+        let shut = stream.shutdown().await;
+        while shut.is_ok() && matches!(stream.read(&mut rest).await, Ok(1..)) {}
+    };
+    // However it ends, the connection is closed.
+    let _ = timeout(CLOSE_TIMEOUT, read_rest).await;
+}
+
 /// Which end of a copy has failed.
 enum Side {
     Reader,
@@ -204,7 +208,7 @@
 }
 
 /// Copies bytes until their end.
-async fn copy(from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf) -> Result<(), Side> {
+async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>) -> Result<(), Side> {
     let mut buffer = [0; BUFFER_BYTES];
     loop {
         let read: io::Result<usize> = from.read(&mut buffer).await;
