tunnel: name the end of the upstream's bytes

An answer without framing ends with its connection, and the kernel closes those of a killed process in order.

A transfer coding other than chunked counts as framed by the connection, as hyper reads it.

--- a/crates/tanagershift/src/gateway/connect.rs
+++ b/crates/tanagershift/src/gateway/connect.rs
@@ -113,7 +113,9 @@
                 Err(outcome) => {
                     let connected = match outcome {
                         TunnelOutcome::Unreachable => timeout_at(began + OWN_LIMIT, own).await,
-                        TunnelOutcome::Unable | TunnelOutcome::Open => Ok(own.await),
+                        TunnelOutcome::Unable
+                        | TunnelOutcome::Open
+                        | TunnelOutcome::OpenFramed => Ok(own.await),
                     };
                     let connection = connected.map_err(|_| Error::Connect {
                         reason: "timeout, here and at another host".to_owned(),
@@ -129,7 +131,7 @@
     async fn open_detour(&self, upstream: &Upstream) -> Result<Connection, TunnelOutcome> {
         let opened = tunnel::open(self, upstream).await?;
         let detour = self.reach.begin_detour(&opened.helper);
-        let connection = Connection::through(&upstream.address, opened.stream, detour).await;
+        let connection = Connection::through(&upstream.address, opened, detour).await;
         let connection = connection.map_err(|_| TunnelOutcome::Unable)?;
         self.metrics.detours.inc();
         Ok(connection)
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -19,11 +19,15 @@
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpSocket, TcpStream},
     time::{Instant, timeout},
 };
 
-use super::reach::{self, DetourGuard, UseGuard};
+use super::{
+    reach::{self, DetourGuard, UseGuard},
+    tunnel::Opened,
+};
 use crate::{clock, holder::engine::error_chain, verdict::Verdict};
 
 /// Longest time to connect. A replica in the region answers within a few milliseconds; a lost SYN is
@@ -145,6 +149,8 @@
     usage: Option<UseGuard>,
     /// Counts the connection at the host that it leads through; `None` for an own one.
     detour: Option<DetourGuard>,
+    /// Whether an end in order is not that of a host on the way.
+    names_end: bool,
 }
 
 impl Connection {
@@ -168,7 +174,10 @@
     /// # Errors
     ///
     /// The connection has ended already.
-    async fn start(address: &str, stream: TcpStream) -> Result<Self, Error> {
+    async fn start<S>(address: &str, stream: S) -> Result<Self, Error>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| Error::Connect {
             reason: error.to_string(),
@@ -183,6 +192,7 @@
             opened_at: clock::now(),
             usage: None,
             detour: None,
+            names_end: true,
         })
     }
 
@@ -193,16 +203,23 @@
     /// The connection has ended already.
     pub async fn through(
         address: &str,
-        stream: TcpStream,
+        opened: Opened,
         detour: DetourGuard,
     ) -> Result<Self, Error> {
-        let connection = Self::start(address, stream).await?;
+        let connection = Self::start(address, opened.stream).await?;
         Ok(Self {
             detour: Some(detour),
+            names_end: opened.names_end,
             ..connection
         })
     }
 
+    /// Whether the connection ends in order only if the other end of the upstream's has: it does not lead
+    /// through a host that cannot tell.
+    pub fn names_end(&self) -> bool {
+        self.names_end
+    }
+
     /// Whether the connection leads through another host.
     pub fn is_detour(&self) -> bool {
         self.detour.is_some()
--- a/crates/tanagershift/src/gateway/detour_message.rs
+++ b/crates/tanagershift/src/gateway/detour_message.rs
@@ -24,6 +24,9 @@
     /// Its address in the list.
     #[prost(string, tag = "2")]
     pub address: String,
+    /// Whether the opener reads the upstream's bytes in frames.
+    #[prost(bool, tag = "3")]
+    pub reads_frames: bool,
 }
 
 /// Answer to a [`Tunnel`].
@@ -34,10 +37,13 @@
     /// The host cannot help: it is cut off itself, shuts down, carries too much, or does not know the
     /// upstream as one that takes requests.
     Unable = 0,
-    /// Whatever follows on the connection is passed on.
+    /// Whatever follows on the connection is passed on, without frames.
     Open = 1,
     /// The upstream accepts no connection from this host either.
     Unreachable = 2,
+    /// Whatever the opener sends is passed on, and the upstream's bytes follow in frames. Only for an
+    /// opener that reads them.
+    OpenFramed = 3,
 }
 
 /// Whether a gateway can help others to reach upstreams.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    body::{Body as _, Incoming},
+    header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
     http::response,
 };
 use tokio::time::{Instant, timeout_at};
@@ -86,10 +86,17 @@
 
 impl UpstreamResponse {
     /// Whether the body has neither a length nor chunks, so that the end of the connection is its
-    /// end.
+    /// end (RFC 9112, section 6.3).
     pub fn ends_with_connection(&self) -> bool {
+        // A response without a body, as one to HEAD.
+        if self.body.is_end_stream() {
+            return false;
+        }
         let headers = &self.head.headers;
-        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+        match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+            Some(codings) => !ends_with_chunked(codings),
+            None => !headers.contains_key(CONTENT_LENGTH),
+        }
     }
 
     /// Returns the connection to the pool, unless the upstream closes it. The whole body must have
@@ -110,6 +117,12 @@
     }
 }
 
+/// Whether the last of the transfer codings is `chunked`.
+fn ends_with_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.to_str().unwrap_or("").rsplit(',').next();
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// An attempt that ended without a usable response.
 #[derive(Debug)]
 pub struct FailedAttempt {
@@ -418,7 +431,6 @@
 
 /// Returns the connection of a refusal to the pool if there is no body to read.
 fn recycle_connection(gateway: &Gateway, response: UpstreamResponse) {
-    use hyper::body::Body as _;
     if response.body.is_end_stream() {
         response.finish(gateway);
     }
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 
 use super::{
     Gateway,
+    answer_end::confirm_whole,
     body_buffer::Buffer,
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{
@@ -322,9 +323,15 @@
             () = gateway.kept_dead(&job.service), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
         }
     };
-    let body = match timeout_at(job.deadline, read).await {
+    let read = timeout_at(job.deadline, read).await;
+    let whole = read.map(|body| {
+        let body = body?;
+        confirm_whole(&upstream_response)?;
+        Ok(body)
+    });
+    let body = match whole {
         Ok(Ok(body)) => body,
-        Ok(Err(reason)) => {
+        Ok(Err::<_, String>(reason)) => {
             let upstream = upstream_response.guard.upstream();
             let progress = upstream_response.progress;
             gateway.log_broken(job, &upstream.name, &progress, &reason);
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -14,14 +14,17 @@
 //! * `signal`: applies what upstreams' answers say about further requests.
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `limit`: request rates that upstreams in need have named.
-//! * `connect`: connects to upstreams, directly or through another host (`tunnel`); `reach` decides which,
+//! * `connect`: connects to upstreams, directly or through another host (`tunnel`, `tunnel_stream`);
+//!   `reach` decides which,
 //!   `helpers` selects the hosts.
 //! * `upstream_list`: reads the list page by page.
+//! * `answer_end`: whether answers that end with their connections are whole.
 //! * `body_buffer`: bodies of responses while they arrive.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
 
+pub mod answer_end;
 pub mod ask;
 pub mod background;
 pub mod body_buffer;
@@ -69,6 +72,9 @@
 #[cfg(test)]
 mod tests;
 pub mod tunnel;
+pub mod tunnel_stream;
+#[cfg(test)]
+mod tunnel_tests;
 pub mod upstream_list;
 pub mod view;
 
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 
 use super::{
     Gateway,
+    answer_end::confirm_whole,
     event_stream::EventSplitter,
     exchange::{Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, may_abandon},
     forward::{self, Trace},
@@ -327,6 +328,11 @@
         if !partial.is_empty() {
             return self.resume_or_fail("the stream ended within an event");
         }
+        if let Source::Response(response) = &self.source
+            && let Err(reason) = confirm_whole(response)
+        {
+            return self.resume_or_fail(reason);
+        }
         if let Source::Response(response) = std::mem::replace(&mut self.source, Source::Ended) {
             // A crash can look like the end of an answer that ends with its connection.
             let has_events = response.progress.span().is_some();
--- a/crates/tanagershift/src/gateway/tunnel.rs
+++ b/crates/tanagershift/src/gateway/tunnel.rs
@@ -4,10 +4,14 @@
 //! request is decided on one host: whether it may be sent, whether it has run, and whether it is sent
 //! again. The helper neither reads nor keeps anything. It connects by itself only: it never asks a
 //! third host.
+//!
+//! The helper sends the upstream's bytes in frames (`tunnel_stream`). Hosts of earlier versions open and pass
+//! on connections without frames: their end may be that of the helper's process.
 
 use std::{io, sync::Arc, time::Duration};
 
 use futures_util::{SinkExt, StreamExt, stream::FuturesUnordered};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -23,6 +27,7 @@
     Gateway,
     connection::{self, connect_tcp},
     message::{Tunnel, TunnelOutcome, Upstream},
+    tunnel_stream::{self, Side, Stream, send_framed},
 };
 use crate::{
     admission::Access,
@@ -46,10 +51,11 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A connection through a helper.
-#[derive(Debug)]
 pub struct Opened {
     /// Leads to the upstream.
-    pub stream: TcpStream,
+    pub stream: Stream,
+    /// Whether the stream ends only if the upstream has ended it. Otherwise the helper may have.
+    pub names_end: bool,
     /// Address of the helper.
     pub helper: String,
 }
@@ -90,10 +96,25 @@
     let tunnel = Tunnel {
         upstream: upstream.name.clone(),
         address: upstream.address.clone(),
+        reads_frames: true,
     };
     let opened = link::open_tunnel(&helper, gateway.leader.pool().greeting(), tunnel);
     let outcome = match timeout(HELPER_TIMEOUT, opened).await {
-        Ok(Ok((TunnelOutcome::Open, stream))) => return Ok(Opened { stream, helper }),
+        Ok(Ok((TunnelOutcome::OpenFramed, connection))) => {
+            return Ok(Opened {
+                stream: tunnel_stream::framed(connection),
+                names_end: true,
+                helper,
+            });
+        }
+        // Upstreams send nothing before they have a request.
+        Ok(Ok((TunnelOutcome::Open, connection))) if connection.read_buffer().is_empty() => {
+            return Ok(Opened {
+                stream: tunnel_stream::unframed(connection.into_inner()),
+                names_end: false,
+                helper,
+            });
+        }
         Ok(Ok((outcome, _))) => outcome,
         Ok(Err(_)) | Err(_) => TunnelOutcome::Unable,
     };
@@ -115,6 +136,7 @@
 async fn carry(gateway: Arc<Gateway>, tunnel: Tunnel, stream: TcpStream) {
     let connected = connect(&gateway, &tunnel).await;
     let outcome = match &connected {
+        Ok(_) if tunnel.reads_frames => TunnelOutcome::OpenFramed,
         Ok(_) => TunnelOutcome::Open,
         Err(outcome) => *outcome,
     };
@@ -128,14 +150,16 @@
     if let (Ok(upstream), Ok(())) = (connected, answered) {
         gateway.metrics.carried_tunnels.inc();
         gateway.metrics.open_tunnels.inc();
-        pass_on(framed.into_inner(), upstream).await;
+        pass_on(framed.into_inner(), upstream, tunnel.reads_frames).await;
         gateway.metrics.open_tunnels.dec();
     }
 }
 
 /// Connects to an upstream for another host.
 async fn connect(gateway: &Gateway, tunnel: &Tunnel) -> Result<TcpStream, TunnelOutcome> {
-    let Tunnel { upstream, address } = tunnel;
+    let Tunnel {
+        upstream, address, ..
+    } = tunnel;
     let is_full = gateway.metrics.open_tunnels.get() >= MAX_TUNNELS;
     if is_full || gateway.is_draining() {
         return Err(TunnelOutcome::Unable);
@@ -161,13 +185,23 @@
 
 /// Passes bytes on in both directions. The end of the upstream's bytes ends the opener's connection in
 /// the same way, in order or by a reset; the end of the opener's closes the upstream's.
-async fn pass_on(mut opener: TcpStream, mut upstream: TcpStream) {
+pub(super) async fn pass_on(mut opener: TcpStream, mut upstream: TcpStream, in_frames: bool) {
+    if !in_frames {
+        // The opener would take the end of this process for that of the upstream. If it fails, only such
+        // an end is affected.
+        let _ = opener.set_zero_linger();
+    }
     // Unlike owned halves, borrowed ones do not shut a connection down in order when they are dropped.
     let (mut from_opener, mut to_opener) = opener.split();
     let (mut from_upstream, mut to_upstream) = upstream.split();
     let ended = {
         let there = copy(&mut from_opener, &mut to_upstream);
-        let back = copy(&mut from_upstream, &mut to_opener);
+        let back = async {
+            match in_frames {
+                true => send_framed(&mut from_upstream, &mut to_opener).await,
+                false => copy(&mut from_upstream, &mut to_opener).await,
+            }
+        };
         tokio::pin!(there, back);
         tokio::select! {
             result = &mut there => match result {
@@ -179,12 +213,10 @@
             result = &mut back => result,
         }
     };
-    match ended {
-        Ok(()) => close_in_order(opener).await,
-        Err(_) => {
-            // If it fails, the opener's connection has ended already.
-            let _ = opener.set_zero_linger();
-        }
+    if ended.is_ok() {
+        // If it fails, the opener takes an end for a reset.
+        let _ = SockRef::from(&opener).set_linger(None);
+        close_in_order(opener).await;
     }
 }
 
@@ -201,12 +233,6 @@
     let _ = timeout(CLOSE_TIMEOUT, read_rest).await;
 }
 
-/// Which end of a copy has failed.
-enum Side {
-    Reader,
-    Writer,
-}
-
 /// Copies bytes until their end.
 async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>) -> Result<(), Side> {
     let mut buffer = [0; BUFFER_BYTES];
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -75,7 +75,8 @@
     Slow,
 }
 
-type Connection = Framed<TcpStream, Codec>;
+/// A connection that carries frames.
+pub type Connection = Framed<TcpStream, Codec>;
 
 /// Who this process is to its peers.
 #[derive(Clone, Debug, Default)]
@@ -257,7 +258,7 @@
 }
 
 /// Connects to a peer and asks it to pass the connection on to an upstream. Returns what it answered, and
-/// the connection, which carries no more frames.
+/// the connection.
 ///
 /// # Errors
 ///
@@ -266,7 +267,7 @@
     address: &str,
     greeting: &Greeting,
     tunnel: Tunnel,
-) -> Result<(TunnelOutcome, TcpStream), String> {
+) -> Result<(TunnelOutcome, Connection), String> {
     let stream = connect_staggered(address).await?;
     connection::set_socket_options(&stream).map_err(|error| error.to_string())?;
     let mut connection = Framed::new(stream, Codec::default());
@@ -286,12 +287,8 @@
         Some(Body::TunnelOutcome(outcome)) => TunnelOutcome::try_from(outcome).ok(),
         _ => None,
     };
-    let parts = connection.into_parts();
-    match outcome {
-        // Upstreams send nothing before they have a request.
-        Some(outcome) if parts.read_buf.is_empty() => Ok((outcome, parts.io)),
-        _ => Err("the peer does not pass connections on".to_owned()),
-    }
+    let outcome = outcome.ok_or("the peer does not pass connections on")?;
+    Ok((outcome, connection))
 }
 
 /// One stream that this process opened. Dropping it cancels it at the peer.
