answers: ask whether the upstream still runs when its connection ends one

Cause: such an answer ends with its connection, and the system closes the connections of a killed process in order. Replicas in one process with the tests never end that way.

Change: the end counts if the same run answers afterwards, a model replica with its report, a plain one with its health check under the expected identity. Until then a plain answer and the end of a stream are held. Otherwise the answer has broken off. Answers that end together share one question.

--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -140,6 +140,8 @@
     pub connections: usize,
     /// Capacity of its model engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Path of its upstreams' health check, if they have one.
+    pub health_path: Option<String>,
 }
 
 /// Limits on what callers may send.
--- a/crates/tanagershift/src/gateway/connect.rs
+++ b/crates/tanagershift/src/gateway/connect.rs
@@ -55,7 +55,11 @@
     }
 
     /// Opens a new connection to an upstream.
-    async fn open_connection(&self, upstream: &Upstream) -> Result<Connection, Error> {
+    ///
+    /// # Errors
+    ///
+    /// Neither this host nor another one could connect.
+    pub async fn open_connection(&self, upstream: &Upstream) -> Result<Connection, Error> {
         let (service, address) = (&upstream.service, &upstream.address);
         let now = Instant::now();
         let distrusted = self.reach.lock().distrusted_since(service, address, now);
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -15,7 +15,6 @@
 
 use super::{
     Gateway,
-    answer_end::confirm_whole,
     body_buffer::Buffer,
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{
@@ -303,35 +302,14 @@
     mut upstream_response: UpstreamResponse,
 ) -> Result<Response<Body>, FailedAttempt> {
     let mut response = response_without_body(gateway, &upstream_response);
-    let read = async {
-        let mut buffer = Buffer::new(&gateway.buffered_bytes);
-        while let Some(frame) = upstream_response.body.frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
-            if let Some(data) = frame.data_ref() {
-                buffer.push(data)?;
-                let now = Instant::now();
-                upstream_response.progress.record_event(now);
-                upstream_response.connection.record_heard(now);
-            }
-        }
-        Ok::<Bytes, String>(buffer.into_bytes())
-    };
-    let is_abandoned = may_abandon(job, &upstream_response.connection);
-    let read = async {
-        tokio::select! {
-            body = read => body,
-            () = gateway.kept_dead(&job.service), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
-        }
+    let read_whole = async {
+        let body = read_upstream_body(gateway, job, &mut upstream_response).await?;
+        gateway.confirm_whole(&upstream_response).await?;
+        Ok::<Bytes, String>(body)
     };
-    let read = timeout_at(job.deadline, read).await;
-    let whole = read.map(|body| {
-        let body = body?;
-        confirm_whole(&upstream_response)?;
-        Ok(body)
-    });
-    let body = match whole {
+    let body = match timeout_at(job.deadline, read_whole).await {
         Ok(Ok(body)) => body,
-        Ok(Err::<_, String>(reason)) => {
+        Ok(Err(reason)) => {
             let upstream = upstream_response.guard.upstream();
             let progress = upstream_response.progress;
             gateway.log_broken(job, &upstream.name, &progress, &reason);
@@ -356,6 +334,32 @@
     Ok(response)
 }
 
+/// Reads the body of an upstream's response until its end.
+async fn read_upstream_body(
+    gateway: &Gateway,
+    job: &Job,
+    response: &mut UpstreamResponse,
+) -> Result<Bytes, String> {
+    let is_abandoned = may_abandon(job, &response.connection);
+    let read = async {
+        let mut buffer = Buffer::new(&gateway.buffered_bytes);
+        while let Some(frame) = response.body.frame().await {
+            let frame = frame.map_err(|error| error.to_string())?;
+            if let Some(data) = frame.data_ref() {
+                buffer.push(data)?;
+                let now = Instant::now();
+                response.progress.record_event(now);
+                response.connection.record_heard(now);
+            }
+        }
+        Ok(buffer.into_bytes())
+    };
+    tokio::select! {
+        body = read => body,
+        () = gateway.kept_dead(&job.service), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
+    }
+}
+
 fn response_without_body(
     gateway: &Gateway,
     upstream_response: &UpstreamResponse,
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -67,6 +67,10 @@
     pub refused_take_ups: Counter,
     /// Streams that were not sent to an upstream which may have started again since it was listed.
     pub unconfirmed_runs: Counter,
+    /// Checks whether an upstream still runs after it ended an answer with its connection.
+    pub end_checks: Counter,
+    /// Answers of upstreams that were gone then; they count as broken off.
+    pub broken_ends: Counter,
     /// Connections to upstreams that lead through another host.
     pub detours: Counter,
     /// Connections to upstreams that were passed on for other hosts.
@@ -110,6 +114,8 @@
             recorded_streams: Gauge::default(),
             refused_take_ups: Counter::default(),
             unconfirmed_runs: Counter::default(),
+            end_checks: Counter::default(),
+            broken_ends: Counter::default(),
             detours: Counter::default(),
             carried_tunnels: Counter::default(),
             open_tunnels: Gauge::default(),
@@ -177,6 +183,10 @@
         let help = "Streams withheld from upstreams that may have started again unlisted";
         let unconfirmed = self.unconfirmed_runs.clone();
         registry.register("unconfirmed_runs", help, unconfirmed);
+        let help = "Checks of upstreams that ended an answer with its connection";
+        registry.register("end_checks", help, self.end_checks.clone());
+        let help = "Checks that found such an upstream gone";
+        registry.register("broken_ends", help, self.broken_ends.clone());
         let help = "Connections to upstreams through another host";
         registry.register("detours", help, self.detours.clone());
         let help = "Connections passed on for other hosts";
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -122,6 +122,8 @@
     pub pool: Pool,
     /// Which connections to upstreams work.
     pub reach: reach::Shared,
+    /// Upstreams that are asked whether they still run.
+    pub confirmations: answer_end::Confirmations,
     /// Services over whose kept connections nothing can arrive any more.
     pub dead_services: watch::Sender<BTreeSet<String>>,
     /// Metrics for the operators.
@@ -171,6 +173,7 @@
             dialect,
             pool: Pool::default(),
             reach: reach::Shared::default(),
+            confirmations: answer_end::Confirmations::default(),
             dead_services: watch::Sender::default(),
             metrics: Metrics::default(),
             leader,
--- a/crates/tanagershift/src/gateway/placement/tests.rs
+++ b/crates/tanagershift/src/gateway/placement/tests.rs
@@ -87,6 +87,7 @@
         name: "llm".to_owned(),
         connections: 100,
         engine: Some(engine),
+        health_path: None,
     };
     Configuration::new(1, Vec::new(), vec![service], Limits::default()).unwrap()
 }
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -17,7 +17,6 @@
 
 use super::{
     Gateway,
-    answer_end::confirm_whole,
     event_stream::EventSplitter,
     exchange::{Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, may_abandon},
     forward::{self, Trace},
@@ -96,9 +95,14 @@
 /// Yields the trace, and the response of the replica that continues the stream, if any does.
 type ResumeFuture = Pin<Box<dyn Future<Output = (Trace, Option<UpstreamResponse>)> + Send>>;
 
+/// Yields why the answer may have broken off, if it may.
+type EndCheck = Pin<Box<dyn Future<Output = Result<(), &'static str>> + Send>>;
+
 /// Where the events come from.
 enum Source {
     Response(Box<UpstreamResponse>),
+    /// The body has ended, and whether that is the end of the answer is being checked.
+    Ending(Box<UpstreamResponse>, EndCheck),
     /// The stream broke, and another replica is asked to continue it.
     Resuming(ResumeFuture),
     Ended,
@@ -204,6 +208,16 @@
                         None => return Poll::Ready(Some(Err(self.fail("broken")))),
                     }
                 }
+                Source::Ending(_, check) => {
+                    let whole = ready!(check.as_mut().poll(context));
+                    let item = match whole {
+                        Ok(()) => self.complete(),
+                        Err(reason) => self.resume_or_fail(reason),
+                    };
+                    if let Some(item) = item {
+                        return Poll::Ready(item);
+                    }
+                }
                 Source::Response(response) => {
                     let frame = match Pin::new(&mut response.body).poll_frame(context) {
                         Poll::Ready(frame) => frame,
@@ -245,7 +259,7 @@
                 Some(Some(Ok(Frame::data(events))))
             }
             Some(Err(error)) => self.resume_or_fail(&error.to_string()),
-            None => self.complete(),
+            None => self.end(),
         }
     }
 
@@ -316,24 +330,35 @@
     fn complete_at_last_frame(&mut self) {
         let is_last = match &self.source {
             Source::Response(response) => response.body.is_end_stream(),
-            Source::Resuming(_) | Source::Ended => false,
+            Source::Ending(..) | Source::Resuming(_) | Source::Ended => false,
         };
         if is_last && self.splitter.is_empty() {
             self.complete();
         }
     }
 
-    fn complete(&mut self) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
-        let partial = self.splitter.take_partial();
-        if !partial.is_empty() {
+    /// Handles the end of the upstream's body.
+    fn end(&mut self) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
+        if !self.splitter.is_empty() {
             return self.resume_or_fail("the stream ended within an event");
         }
-        if let Source::Response(response) = &self.source
-            && let Err(reason) = confirm_whole(response)
-        {
-            return self.resume_or_fail(reason);
+        match std::mem::replace(&mut self.source, Source::Ended) {
+            Source::Response(response) => {
+                let check = Box::pin(self.gateway.confirm_whole(&response));
+                self.source = Source::Ending(response, check);
+                None
+            }
+            other => {
+                self.source = other;
+                None
+            }
         }
-        if let Source::Response(response) = std::mem::replace(&mut self.source, Source::Ended) {
+    }
+
+    fn complete(&mut self) -> Option<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Source::Response(response) | Source::Ending(response, _) =
+            std::mem::replace(&mut self.source, Source::Ended)
+        {
             // A crash can look like the end of an answer that ends with its connection.
             let has_events = response.progress.span().is_some();
             if !self.is_sound && has_events && !response.ends_with_connection() {
@@ -354,7 +379,7 @@
         // The replica that resumes the stream sends the incomplete event again.
         let _ = self.splitter.take_partial();
         let broken = match &self.source {
-            Source::Response(response) => {
+            Source::Response(response) | Source::Ending(response, _) => {
                 let upstream = response.guard.upstream().clone();
                 Some((upstream, response.progress))
             }
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -168,6 +168,7 @@
         name: "desk".to_owned(),
         connections: 10,
         engine: None,
+        health_path: None,
     };
     Configuration::new(1, routes, vec![service], Limits::default())
 }
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -32,7 +32,7 @@
 /// next tally informs the leader, which then corrects the residency.
 const MISSING_TTL: Duration = Duration::from_millis(1500);
 /// Age of the list up to which a listed upstream cannot have started again: that takes longer.
-const RESTART_TIME: Duration = Duration::from_millis(1000);
+pub const RESTART_TIME: Duration = Duration::from_millis(1000);
 /// Age above which the load that an answer reported is ignored.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(500);
 
