streams: check what continues them

Seen: other operators' clients found the text of an error in the middle of their stream, or a stream that broke off ended as if it were complete.

Cause: any response with a success status was taken for the rest of the stream, and the first replica's length was promised to the caller.

Change: continuation::Promise compares the heads before the first byte is passed on. The first event must have a later id than the last one, for callers' take-ups as well. A stream whose events have no ids is not resumed. The length of a resumable stream is not passed on.

--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -8,7 +8,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    header::{HOST, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
     http::request,
 };
 use tokio::time::{Duration, Instant, timeout, timeout_at};
@@ -261,6 +261,10 @@
                 return finish_request(gateway, &job, trace, response);
             }
             let mut response = response_without_body(gateway, &upstream_response);
+            if job.route.resumable {
+                // Another replica may write a longer or a shorter rest.
+                response.headers_mut().remove(CONTENT_LENGTH);
+            }
             *response.body_mut() =
                 Body::stream(Stream::new(gateway.clone(), job, upstream_response, trace));
             Ok(response)
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 //!   `helpers` selects the hosts.
 //! * `upstream_list`: reads the list page by page.
 //! * `answer_end`: whether answers that end with their connections are whole.
+//! * `continuation`: what may follow within an answer that broke off.
 //! * `body_buffer`: bodies of responses while they arrive.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
@@ -34,6 +35,7 @@
 pub mod configuration;
 pub mod connect;
 pub mod connection;
+pub mod continuation;
 pub mod control;
 pub mod daemon;
 mod detour_message;
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 
 use super::{
     Gateway,
+    continuation::Promise,
     event_stream::EventSplitter,
     exchange::{Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, may_abandon},
     forward::{self, Trace},
@@ -114,6 +115,8 @@
     job: Arc<Job>,
     source: Source,
     splitter: EventSplitter,
+    /// What the caller was told with the head of the answer.
+    promise: Promise,
     /// Software version that wrote the events so far; `None` before the first.
     software: Option<id::Software>,
     trace: Trace,
@@ -165,12 +168,14 @@
         trace: &mut Trace,
     ) -> Self {
         let abandoned = abandoned(&gateway, &job, &response);
+        let after = job.head.resume_after.filter(|after| *after > 0);
         Self {
             gateway,
             deadline: Box::pin(sleep_until(job.deadline)),
             job: Arc::new(job),
+            splitter: EventSplitter::continuing(after),
+            promise: Promise::new(&response.head),
             source: Source::Response(Box::new(response)),
-            splitter: EventSplitter::default(),
             software: None,
             trace: std::mem::take(trace),
             timing: StreamTiming::default(),
@@ -201,6 +206,11 @@
                     self.trace = trace;
                     match response {
                         Some(response) => {
+                            if let Err(reason) = self.promise.check(&response.head) {
+                                self.source = Source::Response(Box::new(response));
+                                return Poll::Ready(Some(Err(self.fail_with(reason))));
+                            }
+                            self.splitter.require_continuation();
                             self.abandoned = abandoned(&self.gateway, &self.job, &response);
                             self.silence = Some(silence_limit());
                             self.source = Source::Response(Box::new(response));
@@ -247,7 +257,10 @@
             Some(Ok(frame)) => {
                 // Trailers carry nothing that the caller needs.
                 let data = frame.into_data().ok()?;
-                let events = self.splitter.push(data);
+                let events = match self.splitter.push(data) {
+                    Ok(events) => events,
+                    Err(error) => return Some(Some(Err(self.fail_with(&error.to_string())))),
+                };
                 if events.is_empty() && self.splitter.is_overlong() {
                     return self.resume_or_fail("the stream holds bytes that are no event");
                 }
@@ -394,7 +407,10 @@
             self.gateway.log_broken(&self.job, name, &progress, reason);
             self.gateway.report_crash(&self.job, &upstream, progress)
         });
+        // Without ids the next replica would send the same events again.
+        let has_position = self.splitter.last_id().is_some() || self.timing.first_event.is_none();
         let allowed = self.job.route.resumable
+            && has_position
             && forward::try_spend_retry(&self.gateway, &self.job, &self.trace);
         if !allowed {
             return Some(Some(Err(self.fail("broken"))));
@@ -413,14 +429,23 @@
             }
             let response =
                 forward::send_with_retries(&gateway, &job, &mut trace, &resumption).await;
-            let response = response
-                .ok()
-                .filter(|response| response.head.status.is_success());
-            (trace, response)
+            (trace, response.ok())
         }));
         None
     }
 
+    /// Fails the stream since the replica that began or continues it sends something else.
+    fn fail_with(&mut self, reason: &str) -> io::Error {
+        self.trace.last_failure = reason.to_owned();
+        if let Source::Response(response) = &self.source {
+            let name = &response.guard.upstream().name;
+            self.gateway.view().record_failure(name, Instant::now());
+            self.gateway
+                .log_broken(&self.job, name, &response.progress, reason);
+        }
+        self.fail("broken")
+    }
+
     fn fail(&mut self, outcome: &'static str) -> io::Error {
         self.source = Source::Ended;
         self.outcome = outcome;
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -50,11 +50,32 @@
     a_body_for_which_others_leave_no_room_is_refused: (&[800], 32 << 20, false);
 }}
 
+fn check_continued(after: u64, events: &str, is_continued: bool) {
+    let mut splitter = EventSplitter::continuing(Some(after));
+    let pushed = splitter.push(Bytes::copy_from_slice(events.as_bytes()));
+    assert_eq!(pushed.is_ok(), is_continued);
+}
+
+cases! { check_continued {
+    the_next_event_continues: (2, "id: 3\ndata: a\n\n", true);
+    a_later_event_continues: (2, "id: 9\ndata: a\n\n", true);
+    the_same_event_does_not_continue: (2, "id: 2\ndata: a\n\n", false);
+    an_event_without_id_does_not_continue: (2, "data: a\n\nid: 3\ndata: b\n\n", false);
+    an_event_whose_id_is_no_number_does_not_continue: (2, "id: x\ndata: a\n\n", false);
+    comments_say_nothing: (2, ": a\n\n", true);
+    an_id_after_the_data_counts: (2, "data: a\nid: 3\n\n", true);
+    the_first_event_decides: (2, "id: 1\r\ndata: a\r\n\r\nid: 3\r\ndata: b\r\n\r\n", false);
+}}
+
 fn check_split(pieces: &[&str], expected: &[&str], last_id: Option<u64>, partial: &str) {
     let mut splitter = EventSplitter::default();
     let events: Vec<Bytes> = pieces
         .iter()
-        .map(|piece| splitter.push(Bytes::copy_from_slice(piece.as_bytes())))
+        .map(|piece| {
+            splitter
+                .push(Bytes::copy_from_slice(piece.as_bytes()))
+                .unwrap()
+        })
         .collect();
     assert_eq!(events, expected);
     assert_eq!(splitter.last_id(), last_id);
