gateway: answer what is open when a host stops

Here a request that outlasts the grace got no answer, one that may not be repeated was begun although it could not end in time, and a caller that reads slowly got 5.6 of 16.8 MB.

Cause: the host waited for open requests only, an answer counted as done once the HTTP server had it, and whatever was open at the end went with the process.

Change: the end of the grace is known from its begin. Requests that may not be repeated and may end later are refused, "not run". At the end, requests without an answer get 503 if nothing was sent, otherwise 502. The host also waits for its callers' connections.

--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -5,7 +5,7 @@
 
 use tokio::{
     sync::{mpsc, watch},
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, timeout_at},
 };
 
 use super::{
@@ -27,8 +27,10 @@
 
 /// Time between two checks whether the open requests have ended during a shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time before the end of the grace period at which the process stops waiting for open requests.
+/// Time before the end of the grace period at which the process stops waiting for upstreams.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time for the last answers to be written then.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Requests of other hosts to pass on connections that may wait to be handled.
 const TUNNEL_REQUESTS: usize = 64;
@@ -146,26 +148,30 @@
     }
 
     /// Shuts down gracefully: reports not ready, hands over leadership, and waits for the open
-    /// requests to end. No request is cut off unless the grace period passes.
+    /// requests to end and for callers to read their answers. At the end of the grace period requests
+    /// whose answers have not begun are answered; only streams and callers that read slowly are cut
+    /// off.
     pub async fn shutdown(&self) {
         let started = Instant::now();
         log::info!("event=drain open={}", self.gateway.metrics.open.get());
+        let answer_until = started + self.grace_period.saturating_sub(GRACE_MARGIN);
+        self.gateway.answer_until.send_replace(Some(answer_until));
         self.gateway.draining.send_replace(true);
         if let Some(voter) = &self.voter {
             voter.transfer_leadership().await;
         }
         sleep(self.balancer_delay).await;
         self.stop.send_replace(true);
-        let time_limit = self.grace_period.saturating_sub(GRACE_MARGIN);
+        let metrics = &self.gateway.metrics;
         let drained = async {
-            let metrics = &self.gateway.metrics;
-            while metrics.open.get() > 0 || metrics.open_tunnels.get() > 0 {
+            while metrics.open.get() > 0
+                || metrics.caller_connections.get() > 0
+                || metrics.open_tunnels.get() > 0
+            {
                 sleep(DRAIN_CHECK_INTERVAL).await;
             }
-            // Leaves time for the last answers to be written.
-            sleep(DRAIN_CHECK_INTERVAL).await;
         };
-        let finished = timeout(time_limit.saturating_sub(started.elapsed()), drained).await;
+        let finished = timeout_at(answer_until + WRITE_TIMEOUT, drained).await;
         log::info!(
             "event=stop open={} finished={} took_ms={}",
             self.gateway.metrics.open.get(),
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Rejects a request that is not answered when the host stops. It may have run if it was sent to an
+    /// upstream.
+    pub fn host_stops(trace: &Trace) -> Self {
+        let reason = "the host stops";
+        match trace.tried.is_empty() {
+            true => Self::retry_later(reason),
+            false => Self::new(StatusCode::BAD_GATEWAY, reason),
+        }
+    }
+
     /// Response to the caller, with an empty body.
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(Body::full(Bytes::new()));
@@ -179,6 +189,9 @@
         received_at,
         deadline: received_at + limit,
     };
+    if job.route.kind == RouteKind::Once && !gateway.outlives(job.deadline) {
+        return Err(Rejection::retry_later("the host stops before the deadline"));
+    }
     gateway.budget().count_request(&job.service, received_at);
     serve(gateway, job, trace).await
 }
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -71,6 +71,8 @@
     pub end_checks: Counter,
     /// Answers of upstreams that were gone then; they count as broken off.
     pub broken_ends: Counter,
+    /// Callers' connections that are open.
+    pub caller_connections: Gauge,
     /// Connections to upstreams that lead through another host.
     pub detours: Counter,
     /// Connections to upstreams that were passed on for other hosts.
@@ -114,6 +116,7 @@
             recorded_streams: Gauge::default(),
             refused_take_ups: Counter::default(),
             unconfirmed_runs: Counter::default(),
+            caller_connections: Gauge::default(),
             end_checks: Counter::default(),
             broken_ends: Counter::default(),
             detours: Counter::default(),
@@ -187,6 +190,8 @@
         registry.register("end_checks", help, self.end_checks.clone());
         let help = "Checks that found such an upstream gone";
         registry.register("broken_ends", help, self.broken_ends.clone());
+        let help = "Open connections of callers";
+        registry.register("caller_connections", help, self.caller_connections.clone());
         let help = "Connections to upstreams through another host";
         registry.register("detours", help, self.detours.clone());
         let help = "Connections passed on for other hosts";
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -89,7 +89,7 @@
 use bytes::Bytes;
 use tokio::{
     sync::{Notify, watch},
-    time::Instant,
+    time::{Instant, sleep_until},
 };
 
 use crate::{follower::Leader, id, verdict::Verdict};
@@ -144,6 +144,8 @@
     pub tally_wanted: Notify,
     /// Whether the host is shutting down.
     pub draining: watch::Sender<bool>,
+    /// Until when requests may be answered; `None` unless the host is shutting down.
+    pub answer_until: watch::Sender<Option<Instant>>,
     /// Whether a configuration is in force.
     pub configured: watch::Sender<bool>,
     /// When the process started.
@@ -184,6 +186,7 @@
             placement_changes: watch::Sender::new(0),
             tally_wanted: Notify::new(),
             draining: watch::Sender::new(false),
+            answer_until: watch::Sender::new(None),
             configured: watch::Sender::new(false),
             started_at: Instant::now(),
             buffered_bytes: AtomicUsize::new(0),
@@ -217,6 +220,27 @@
         *self.draining.borrow()
     }
 
+    /// Waits until the host, which is shutting down, must have answered all requests.
+    pub async fn answers_are_due(&self) {
+        let mut answer_until = self.answer_until.subscribe();
+        let until = match answer_until.wait_for(Option::is_some).await {
+            Ok(until) => *until,
+            // Fails only while the process ends.
+            Err(_) => None,
+        };
+        match until {
+            Some(until) => sleep_until(until).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Whether a request that takes until a deadline can be answered before the host ends.
+    pub fn outlives(&self, deadline: Instant) -> bool {
+        self.answer_until
+            .borrow()
+            .is_none_or(|until| deadline <= until)
+    }
+
     /// Whether a notice from the leader arrived within `limit`, or within the last
     /// `MAX_MISSED_NOTICES` notice intervals if those take longer.
     pub fn heard_leader_within(&self, limit: Duration) -> bool {
--- a/crates/tanagershift/src/gateway/server.rs
+++ b/crates/tanagershift/src/gateway/server.rs
@@ -19,7 +19,7 @@
 
 use super::{
     Gateway, connection,
-    forward::{self, Trace},
+    forward::{self, Rejection, Trace},
     relay::Body,
 };
 use crate::emit;
@@ -50,7 +50,24 @@
     }
 }
 
+/// Counts a caller's connection as open until dropped.
+struct ConnectionGuard(Arc<Gateway>);
+
+impl ConnectionGuard {
+    fn new(gateway: Arc<Gateway>) -> Self {
+        gateway.metrics.caller_connections.inc();
+        Self(gateway)
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.metrics.caller_connections.dec();
+    }
+}
+
 async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+    let _guard = ConnectionGuard::new(gateway.clone());
     // A connection without the options works, only slower.
     let _ = connection::set_socket_options(&stream);
     let limits = {
@@ -135,7 +152,11 @@
         answered: false,
     };
     let mut trace = Trace::default();
-    let result = forward::handle_request(&gateway, request, &mut trace).await;
+    let handled = tokio::select! {
+        result = forward::handle_request(&gateway, request, &mut trace) => Some(result),
+        () = gateway.answers_are_due() => None,
+    };
+    let result = handled.unwrap_or_else(|| Err(Rejection::host_stops(&trace)));
     disconnect_logger.answered = true;
     let mut response = match result {
         Ok(response) => response,
