--- a/crates/tanagershift/src/gateway/answer_end.rs
+++ b/crates/tanagershift/src/gateway/answer_end.rs
@@ -44,7 +44,8 @@
     Health(String),
 }
 
-/// When each upstream was last asked and answered, for the answers that wait for it.
+/// Upstreams that are being asked, each with the time of the last question that it answered. Answers that
+/// end meanwhile wait for the same lock.
 #[derive(Debug, Default)]
 pub struct Confirmations {
     by_upstream: Mutex<HashMap<String, Arc<sync::Mutex<Option<Instant>>>>>,
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -149,7 +149,7 @@
     usage: Option<UseGuard>,
     /// Counts the connection at the host that it leads through; `None` for an own one.
     detour: Option<DetourGuard>,
-    /// Whether an end in order is not that of a host on the way.
+    /// Whether an end in order is known to be the upstream's.
     names_end: bool,
 }
 
@@ -214,8 +214,8 @@
         })
     }
 
-    /// Whether the connection ends in order only if the other end of the upstream's has: it does not lead
-    /// through a host that cannot tell.
+    /// Whether an end in order is known to be the upstream's. It is not if the connection leads through a
+    /// host that cannot tell its own end from that.
     pub fn names_end(&self) -> bool {
         self.names_end
     }
--- a/crates/tanagershift/src/gateway/event_stream.rs
+++ b/crates/tanagershift/src/gateway/event_stream.rs
@@ -24,7 +24,7 @@
 pub struct EventSplitter {
     partial: BytesMut,
     last_id: Option<u64>,
-    /// Id of the event that the next one must follow; `None` once it has.
+    /// Id that the next event's must exceed; `None` once it has.
     must_follow: Option<u64>,
 }
 
--- a/crates/tanagershift/src/gateway/tunnel.rs
+++ b/crates/tanagershift/src/gateway/tunnel.rs
@@ -54,7 +54,7 @@
 pub struct Opened {
     /// Leads to the upstream.
     pub stream: Stream,
-    /// Whether the stream ends only if the upstream has ended it. Otherwise the helper may have.
+    /// Whether an end in order is known to be the upstream's. Otherwise it may be the helper's.
     pub names_end: bool,
     /// Address of the helper.
     pub helper: String,
