upstream.full: who selected an upstream that rejects for want of room

Change: an event and a counter at each rejection, with what the gateway believed of the upstream's load and what the answer said; Server-Brittle is parsed.

--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -80,6 +80,8 @@
     pub leaving: bool,
     /// Requests a second that the replica takes from all hosts together, if it names a limit.
     pub limit: Option<f64>,
+    /// Requests that the replica can reject within a second before it falls over, if it is brittle.
+    pub brittle: Option<u32>,
 }
 
 /// What an order makes a replica do.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -144,6 +144,8 @@
 pub struct UpstreamRequestGuard {
     gateway: Arc<Gateway>,
     upstream: Arc<Upstream>,
+    /// Whether the leader selected the upstream.
+    is_assigned: bool,
     /// Call to the leader that let the request run. Closing it tells the leader that the request has
     /// ended.
     _grant: Option<Call>,
@@ -155,6 +157,7 @@
         Self {
             gateway,
             upstream: selected.upstream,
+            is_assigned: selected.is_assigned,
             _grant: selected.grant,
         }
     }
@@ -405,6 +408,9 @@
             }
         }
         drop(view);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            gateway.log_full_upstream(job, &response);
+        }
         let reason = format!("refused with {status}");
         recycle_connection(gateway, response);
         return Err(FailedAttempt {
@@ -429,6 +435,28 @@
     Ok(response)
 }
 
+impl Gateway {
+    /// Logs and counts a request that an upstream rejected for want of room.
+    fn log_full_upstream(&self, job: &Job, response: &UpstreamResponse) {
+        let (guard, head) = (&response.guard, &response.parsed_head);
+        let selected_by = match guard.is_assigned {
+            true => "leader",
+            false => "gateway",
+        };
+        self.metrics.count_full_upstream(selected_by);
+        let name = &guard.upstream.name;
+        let (own, believed) = self.view().open_requests(name, Instant::now());
+        let (running, waiting, slots) = head.load.unwrap_or((0, 0, guard.upstream.slots));
+        log::info!(
+            "event=upstream.full request={} upstream={name} selected_by={selected_by} \
+             own_open={own} believed_open={believed} running={running} waiting={waiting} \
+             slots={slots} brittle={}",
+            job.head.id,
+            head.brittle.map_or(-1, i64::from),
+        );
+    }
+}
+
 /// Returns the connection of a refusal to the pool if there is no body to read.
 fn recycle_connection(gateway: &Gateway, response: UpstreamResponse) {
     if response.body.is_end_stream() {
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -17,6 +17,12 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct FullLabels {
+    selected_by: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct OrderLabels {
@@ -30,6 +36,7 @@
     registry: Arc<Mutex<Registry>>,
     requests: Family<RequestLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
+    full_upstreams: Family<FullLabels, Counter>,
     /// Retries that were taken from the retry budget.
     pub retries: Counter,
     /// Seconds that a request waited until the leader assigned it a replica or, without a leader,
@@ -99,6 +106,7 @@
             registry: Arc::default(),
             requests: Family::default(),
             orders: Family::default(),
+            full_upstreams: Family::default(),
             retries: Counter::default(),
             replica_wait: Histogram::new(SECONDS),
             first_event: Histogram::new(SECONDS),
@@ -147,6 +155,11 @@
             "Orders to replicas by outcome",
             self.orders.clone(),
         );
+        registry.register(
+            "full_upstreams",
+            "Requests that a full upstream rejected, by who had selected it",
+            self.full_upstreams.clone(),
+        );
         registry.register("repeats", "Attempts after the first", self.retries.clone());
         let help = "Time that a request waited for its adapter";
         registry.register_with_unit("load_stall", help, Unit::Seconds, self.replica_wait.clone());
@@ -227,6 +240,12 @@
         self.orders.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that a full upstream rejected.
+    pub fn count_full_upstream(&self, selected_by: &'static str) {
+        let labels = FullLabels { selected_by };
+        self.full_upstreams.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -456,6 +456,12 @@
         std::mem::take(&mut self.unreachable).into_iter().collect()
     }
 
+    /// Requests open at an upstream: those of this gateway, and the estimate over all gateways.
+    pub fn open_requests(&self, upstream: &str, now: Instant) -> (u32, u32) {
+        let known = self.upstreams.get(upstream);
+        known.map_or((0, 0), |known| (known.stats.open, known.open_requests(now)))
+    }
+
     /// Counts a request that is being sent to an upstream.
     pub fn count_opened(&mut self, upstream: &str) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
