--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -99,6 +99,10 @@
     REQUEST_CONVICTED = 513, Error;
     /// A sound answer cleared a suspected request.
     REQUEST_CLEARED = 514, Info;
+    /// An upstream says that it is brittle.
+    BRITTLE_NAMED = 515, Info;
+    /// An upstream says no more that it is brittle.
+    BRITTLE_ENDED = 516, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Gateway,
+    configuration::RouteKind,
     dialect::RequestHead,
     exchange::{Job, Resumption},
     forward::Rejection,
@@ -27,6 +28,8 @@
 /// stream after four objectives without an event. Service that begins before that is still useful
 /// to them, so the refusal comes well after the objective.
 const GIVE_UP_OBJECTIVES: f64 = 2.8;
+/// Share of the time limit of a request without a stream after which it is refused if it has not begun.
+const PLAIN_WAIT_SHARE: f64 = 0.8;
 /// Share of the objective that is reserved for processing the prompt and delivering the answer.
 const OBJECTIVE_MARGIN: f64 = 0.25;
 
@@ -111,9 +114,8 @@
 
 fn ask_message(gateway: &Gateway, job: &Job, resumption: &Resumption, excluded: &[String]) -> Ask {
     let now = Instant::now();
-    let objective = job.received_at + job.route.objective.mul_f64(1.0 - OBJECTIVE_MARGIN);
-    let give_up = job.route.objective.mul_f64(GIVE_UP_OBJECTIVES);
-    let give_up = (job.received_at + give_up).min(job.deadline);
+    let objective = job.received_at + objective(job).mul_f64(1.0 - OBJECTIVE_MARGIN);
+    let give_up = give_up_at(job);
     let millis = |time: Instant| time.saturating_duration_since(now).as_millis() as u64;
     let overdue_ms = now.saturating_duration_since(objective).as_millis() as i64;
     let (prompt, output) = job.head.tokens.unwrap_or((0, 0));
@@ -140,6 +142,30 @@
         continues: job.head.continues_stream(),
         resumes: job.head.resumes.clone().unwrap_or_default(),
         software: resumption.software.clone(),
+        is_bounded: gateway.view().shares.is_bounded(&job.service),
+    }
+}
+
+/// Latency objective of a job. A route without one leaves half of its time to the service.
+fn objective(job: &Job) -> Duration {
+    match job.route.objective.is_zero() {
+        true => job.route.timeout.div_f64(2.0 * GIVE_UP_OBJECTIVES),
+        false => job.route.objective,
+    }
+}
+
+/// When a job that still waits for a place is refused.
+pub fn give_up_at(job: &Job) -> Instant {
+    match job.route.kind {
+        RouteKind::Stream => {
+            let give_up = job.received_at + objective(job).mul_f64(GIVE_UP_OBJECTIVES);
+            give_up.min(job.deadline)
+        }
+        // Callers wait for the whole answer, which comes at once.
+        RouteKind::Idempotent | RouteKind::Once => {
+            let time = job.deadline.saturating_duration_since(job.received_at);
+            job.received_at + time.mul_f64(PLAIN_WAIT_SHARE)
+        }
     }
 }
 
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -79,9 +79,8 @@
                 .await;
             if let Some((call, Body::Notice(first))) = opened {
                 log::info!("event=leader.found term={}", first.term);
-                self.gateway.view().admission.forget_confirmations();
+                self.gateway.view().begin_watch(Instant::now());
                 self.gateway.quarantine().replace(&first.marks);
-                self.gateway.view().limits.report_again(Instant::now());
                 self.gateway.tally_wanted.notify_one();
                 let accusations = self.gateway.quarantine().accusations(Instant::now());
                 if !accusations.is_empty() {
@@ -229,6 +228,9 @@
                     limits: view.limits.take_reports(Instant::now()),
                     limited_demand: view.take_limited_demand(),
                     unreachable: view.take_unreachable(),
+                    brittle: view.shares.take_reports(Instant::now()),
+                    rejections: view.take_rejections(),
+                    unassigned: Some(view.unassigned_open()),
                     reach: Some(ReachReport {
                         is_cut_off: self.gateway.reach.lock().is_cut_off(),
                         is_draining: self.gateway.is_draining(),
--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -29,6 +29,8 @@
     pub tried: &'a [String],
     /// Availability zone of this host.
     pub zone: &'a str,
+    /// Whether this gateway's turn at brittle upstreams has come, so that its share does not count.
+    pub has_turn: bool,
 }
 
 /// Outcome of a selection.
@@ -43,6 +45,8 @@
     /// Every open upstream of the service has named a limit, and this gateway has no permit. Room is
     /// expected after this time.
     Limited(Duration),
+    /// Every open upstream of the service is brittle, and this gateway's share of their places is taken.
+    Full,
     /// No replica has the adapter or base model that the request needs, or only ejected ones have
     /// it.
     NoReplica,
@@ -80,6 +84,18 @@
         let names = open.iter().map(|known| known.upstream.name.as_str());
         return Choice::Limited(view.limits.retry_after(names, view.hosts));
     }
+    let is_bounded = view.shares.is_bounded(requirements.service);
+    let has_place =
+        |known: &&KnownUpstream| !is_bounded || requirements.has_turn || known.has_share_left();
+    let mut live: Vec<&KnownUpstream> = live.into_iter().filter(has_place).collect();
+    if live.is_empty() {
+        return Choice::Full;
+    }
+    if requirements.has_turn {
+        // Gateways that know nothing of each other must not agree on one upstream.
+        let first = rand::random_range(0..live.len());
+        live.rotate_left(first);
+    }
     let Some(wanted) = requirements.adapter.or(requirements.model) else {
         let best = least_busy(
             live.into_iter().map(|known| (known, None)),
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -106,6 +106,10 @@
         if gateway.view().admission.is_leaving(name, Instant::now()) {
             return;
         }
+        if self.head.status.is_success() {
+            let (service, time) = (&self.guard.upstream.service, self.guard.sent_at.elapsed());
+            gateway.view().shares.record_run(service, time);
+        }
         let connection_header = self.head.headers.get(hyper::header::CONNECTION);
         if connection_header.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
@@ -144,8 +148,9 @@
 pub struct UpstreamRequestGuard {
     gateway: Arc<Gateway>,
     upstream: Arc<Upstream>,
-    /// Whether the leader selected the upstream.
-    is_assigned: bool,
+    /// Watch in which the leader has assigned the request; `None` if the gateway selected the upstream.
+    assigned_in: Option<u64>,
+    sent_at: Instant,
     /// Call to the leader that let the request run. Closing it tells the leader that the request has
     /// ended.
     _grant: Option<Call>,
@@ -153,11 +158,13 @@
 
 impl UpstreamRequestGuard {
     fn new(gateway: Arc<Gateway>, selected: SelectedUpstream) -> Self {
-        gateway.view().count_opened(&selected.upstream.name);
+        let (name, is_assigned) = (&selected.upstream.name, selected.is_assigned);
+        let assigned_in = gateway.view().count_opened(name, is_assigned);
         Self {
             gateway,
             upstream: selected.upstream,
-            is_assigned: selected.is_assigned,
+            assigned_in,
+            sent_at: Instant::now(),
             _grant: selected.grant,
         }
     }
@@ -170,7 +177,8 @@
 
 impl Drop for UpstreamRequestGuard {
     fn drop(&mut self) {
-        self.gateway.view().count_closed(&self.upstream.name);
+        let name = &self.upstream.name;
+        self.gateway.view().count_closed(name, self.assigned_in);
     }
 }
 
@@ -250,6 +258,7 @@
     gateway.apply_signal(upstream, &head, &parsed_head, Origin::Answer);
     if parsed_head.id.as_deref() == Some(job.head.id.as_str()) {
         gateway.observe_limit(upstream, &parsed_head);
+        gateway.observe_brittle(upstream, &parsed_head);
     }
     let response = UpstreamResponse {
         head,
@@ -322,6 +331,9 @@
         if !clearance.is_assigned && !gateway.view().limits.take(&upstream.name, now) {
             return Err(Error::Withheld);
         }
+        if !clearance.is_assigned && !gateway.view().is_within_share(upstream) {
+            return Err(Error::Withheld);
+        }
         let is_abandoned = may_abandon(job, &connection);
         let sent = tokio::select! {
             sent = connection.send(request) => sent,
@@ -409,7 +421,7 @@
         }
         drop(view);
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            gateway.log_full_upstream(job, &response);
+            gateway.record_full_upstream(job, &response);
         }
         let reason = format!("refused with {status}");
         recycle_connection(gateway, response);
@@ -436,16 +448,24 @@
 }
 
 impl Gateway {
-    /// Logs and counts a request that an upstream rejected for want of room.
-    fn log_full_upstream(&self, job: &Job, response: &UpstreamResponse) {
+    /// Logs and counts a request that an upstream rejected for want of room, and tells the leader if the
+    /// upstream is brittle.
+    fn record_full_upstream(&self, job: &Job, response: &UpstreamResponse) {
         let (guard, head) = (&response.guard, &response.parsed_head);
-        let selected_by = match guard.is_assigned {
-            true => "leader",
-            false => "gateway",
+        let selected_by = match guard.assigned_in {
+            Some(_) => "leader",
+            None => "gateway",
         };
         self.metrics.count_full_upstream(selected_by);
         let name = &guard.upstream.name;
-        let (own, believed) = self.view().open_requests(name, Instant::now());
+        let (own, believed) = {
+            let mut view = self.view();
+            view.shares.record_rejection(name, &guard.upstream.service);
+            view.open_requests(name, Instant::now())
+        };
+        if head.brittle.is_some() {
+            self.tally_wanted.notify_one();
+        }
         let (running, waiting, slots) = head.load.unwrap_or((0, 0, guard.upstream.slots));
         log::info!(
             "event=upstream.full request={} upstream={name} selected_by={selected_by} \
--- /dev/null
+++ b/crates/tanagershift/src/gateway/hub/concurrency.rs
@@ -0,0 +1,104 @@
+//! Bounds the open requests at brittle upstreams.
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::LeaderState;
+use crate::{
+    gateway::message::{Counts, List, Notice, Tally, Upstream},
+    id,
+};
+
+impl LeaderState {
+    /// Records what a gateway has learnt of brittle upstreams.
+    pub(super) fn record_brittle(&mut self, tally: &Tally, now: Instant) {
+        for report in &tally.brittle {
+            self.ceilings.observe(report, now);
+        }
+        for rejections in &tally.rejections {
+            let mut listed = self.list.upstreams.iter();
+            let Some(upstream) = listed.find(|one| one.name == rejections.upstream) else {
+                continue;
+            };
+            self.ceilings
+                .record_rejections(upstream, rejections.count, now);
+        }
+    }
+
+    /// Tells all gateways which upstreams are brittle, and raises the ceilings of services whose requests
+    /// wait.
+    pub(super) fn spread_brittle(&mut self, now: Instant) {
+        let brittle = self.ceilings.take_changes();
+        if !brittle.is_empty() {
+            self.broadcast(&Notice {
+                brittle,
+                ..Notice::default()
+            });
+        }
+        if self.ceilings.is_empty() {
+            return;
+        }
+        for service in self.scheduler.services_waiting() {
+            if self.ceilings.is_bounded(&service) {
+                let listed = self.list.upstreams.iter();
+                let live = listed.filter(|one| one.service == service && !one.draining);
+                self.ceilings.raise(&service, live, now);
+            }
+        }
+    }
+
+    /// Open requests at each upstream that this leader has not assigned.
+    pub(super) fn count_unscheduled(&self) -> BTreeMap<id::Upstream, u32> {
+        let mut sums = vec![0_u32; self.list.upstreams.len()];
+        for (host, gateway) in &self.gateways {
+            let told = gateway.unassigned.as_ref();
+            let counts = told.unwrap_or(&gateway.open);
+            if counts.list != self.list.number {
+                continue;
+            }
+            for (at, (sum, count)) in sums.iter_mut().zip(&counts.counts).enumerate() {
+                // An older host tells all of its open requests.
+                let assigned = match (told, self.list.upstreams.get(at)) {
+                    (None, Some(upstream)) if *count > 0 => {
+                        self.scheduler.running_of(host, &upstream.name)
+                    }
+                    _ => 0,
+                };
+                *sum += count.saturating_sub(assigned);
+            }
+        }
+        let names = self.list.upstreams.iter().map(|one| one.name.clone());
+        names.zip(sums).collect()
+    }
+
+    /// Moves what the gateways have told of their open requests to a new list.
+    pub(super) fn move_counts(&mut self, list: &List) {
+        let places: BTreeMap<&str, usize> = names(&self.list.upstreams).collect();
+        let old_number = self.list.number;
+        let moved = |counts: &Counts| {
+            if counts.list != old_number {
+                return counts.clone();
+            }
+            let count = |one: &Upstream| {
+                let at = places.get(one.name.as_str());
+                at.and_then(|at| counts.counts.get(*at))
+                    .copied()
+                    .unwrap_or(0)
+            };
+            Counts {
+                list: list.number,
+                counts: list.upstreams.iter().map(count).collect(),
+            }
+        };
+        for gateway in self.gateways.values_mut() {
+            gateway.open = moved(&gateway.open);
+            gateway.unassigned = gateway.unassigned.as_ref().map(moved);
+        }
+    }
+}
+
+fn names(upstreams: &[Upstream]) -> impl Iterator<Item = (&str, usize)> {
+    let names = upstreams.iter().map(|one| one.name.as_str());
+    names.enumerate().map(|(at, name)| (name, at))
+}
--- a/crates/tanagershift/src/gateway/hub/gateways.rs
+++ b/crates/tanagershift/src/gateway/hub/gateways.rs
@@ -23,6 +23,8 @@
 pub(super) struct GatewayState {
     pub(super) session: u64,
     pub(super) open: Counts,
+    /// Those of them that this leader has not assigned; `None` if the gateway does not tell.
+    pub(super) unassigned: Option<Counts>,
     pub(super) updated_at: Instant,
     /// Peer address; empty until the gateway subscribes.
     pub(super) address: String,
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -2,6 +2,7 @@
 //! assigns requests to replicas, and notifies all gateways of changes.
 //!
 //! * `actions`: sends the orders of the placement.
+//! * `concurrency`: bounds the open requests at brittle upstreams.
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
 //! * `gateways`: the gateways that the leader knows.
 //! * `helpers`: tells gateways through which hosts they can reach upstreams, and hands over leadership
@@ -14,6 +15,7 @@
 //! * `software`: lets streams go on at the software version that began them.
 
 mod actions;
+mod concurrency;
 mod configuration_history;
 mod gateways;
 mod helpers;
@@ -46,6 +48,7 @@
 
 use super::{
     Gateway,
+    concurrency::Ceilings,
     dialect::{OrderOutcome, Report},
     limit::Limits,
     message::{Ask, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
@@ -164,6 +167,8 @@
     checks: Checks,
     /// Request rates that upstreams have named.
     limits: Limits,
+    /// Bounds on open requests at brittle upstreams.
+    ceilings: Ceilings,
     /// Software versions of streams.
     software: software::State,
     /// Evidence against prompt parts and requests that crash replicas.
@@ -397,6 +402,7 @@
             pauses: Pauses::default(),
             checks: Checks::default(),
             limits: Limits::default(),
+            ceilings: Ceilings::new(self.gateway.view().hosts, now),
             software: software::State::new(term, &status.streams, self.config.take_up_margin),
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
@@ -467,6 +473,7 @@
         state.sweep(now);
         state.spread_marks(&self.gateway, now);
         state.spread_limits(now);
+        state.spread_brittle(now);
         state.spread_helpers(now);
         hand_over_if_cut_off(&self.gateway, &self.voter, state, now);
         state.start_checks(&self.gateway, &self.inputs, now);
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -64,6 +64,7 @@
             permits: Vec::new(),
             baselines: self.baselines(),
             helpers: Vec::new(),
+            brittle: self.ceilings.reports(),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -86,6 +87,7 @@
                 address: watch.address,
                 zone: watch.zone,
                 reach: ReachReport::default(),
+                unassigned: None,
             },
         );
         self.helpers.differ = true;
@@ -112,6 +114,7 @@
         self.record_pauses(&tally, own_host, now);
         self.record_evidence(&tally, now);
         self.record_limits(&tally, now);
+        self.record_brittle(&tally, now);
         let crashed = tally.accusations.iter().map(|one| &one.upstream);
         for replica in tally.unreachable.iter().chain(crashed) {
             self.checks.request(replica, now);
@@ -139,6 +142,10 @@
         for streams in &tally.streams {
             self.scheduler.count_streams(streams, now);
         }
+        let told = tally.open.as_ref();
+        if told.is_some_and(|open| open.list == self.list.number) {
+            self.ceilings.record_heard(&tally.host);
+        }
         if let Some(reach) = &tally.reach {
             self.record_reach(&tally.host, reach);
         }
@@ -152,12 +159,17 @@
                 address: String::new(),
                 zone: id::Zone::default(),
                 reach: ReachReport::default(),
+                unassigned: None,
             });
         gateway.updated_at = now;
         gateway.session = tally.session;
         if let Some(open) = tally.open {
             gateway.open = open;
         }
+        gateway.unassigned = tally.unassigned;
+        if !self.ceilings.is_empty() {
+            self.unscheduled_requests = self.count_unscheduled();
+        }
     }
 
     /// Records upstreams that leave, and tells all gateways of those that are new.
@@ -228,6 +240,7 @@
         self.software.set_listed(software, now);
         let listed: BTreeSet<&str> = upstreams.iter().map(|one| one.name.as_str()).collect();
         self.limits.retain_listed(&listed, now);
+        self.ceilings.retain_listed(&listed, now);
         self.scheduler.retain_replicas(|name| listed.contains(name));
         self.unscheduled_requests
             .retain(|name, _| listed.contains(name.as_str()));
@@ -235,10 +248,12 @@
         for upstream in &mut upstreams {
             upstream.models.clear();
         }
-        self.list = List {
+        let list = List {
             number: self.list.number.max(self.term << 32) + 1,
             upstreams,
         };
+        self.move_counts(&list);
+        self.list = list;
         for watcher in &mut self.watchers {
             watcher.needs_snapshot |= first;
         }
@@ -290,11 +305,8 @@
         }
         for (upstream, count) in self.list.upstreams.iter().zip(&counts) {
             self.placement.set_open_requests(&upstream.name, *count);
-            let scheduled = self.scheduler.running_on(&upstream.name);
-            let unscheduled = count.saturating_sub(scheduled);
-            self.unscheduled_requests
-                .insert(upstream.name.clone(), unscheduled);
         }
+        self.unscheduled_requests = self.count_unscheduled();
         Counts {
             list: self.list.number,
             counts,
@@ -334,6 +346,7 @@
         if now >= self.next_summary {
             self.next_summary = now + SUMMARY_INTERVAL;
             self.ledger.expire(now);
+            self.ceilings.expire(now);
             log::info!(
                 "event=hub.summary term={} hosts={} waiting={} open={} streams={} paces={:.1?} {:?}",
                 self.term,
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -4,10 +4,10 @@
 
 use tokio::time::Instant;
 
-use super::{LeaderState, ReplicaRequest, software};
+use super::{LeaderState, ReplicaRequest, TICK_INTERVAL, software};
 use crate::{
     gateway::{
-        message::{Ask, Demand, Grant},
+        message::{Ask, Demand, Grant, Upstream},
         placement, quarantine,
         scheduler::{Candidate, Decision, Job, JobNumber, PromptPart},
     },
@@ -28,9 +28,12 @@
     /// Queues a request for a replica; refuses it if its adapter cannot be loaded before the caller
     /// gives up.
     pub(super) fn queue_request(&mut self, ask: Ask, responder: Responder, now: Instant) {
-        if ask.model.is_empty() {
+        if ask.model.is_empty() && !ask.is_bounded {
             return self.rule_on_unassigned(&ask, responder, now);
         }
+        if ask.model.is_empty() {
+            return self.add_request(ask, None, responder, now);
+        }
         let wanted = if ask.adapter.is_empty() {
             &ask.model
         } else {
@@ -55,6 +58,17 @@
             self.refuse_late_load(&ask, wait, responder);
             return;
         }
+        self.add_request(ask, required, responder, now);
+    }
+
+    /// Queues a request that must run at a software version, if one is given.
+    fn add_request(
+        &mut self,
+        ask: Ask,
+        required: Option<id::Software>,
+        responder: Responder,
+        now: Instant,
+    ) {
         let number = self.next_number;
         self.next_number += 1;
         let request = ReplicaRequest {
@@ -103,7 +117,11 @@
         if now < self.next_sweep {
             return;
         }
-        self.next_sweep = now + SWEEP_INTERVAL;
+        // A place at a brittle upstream is free again only when the end of its request is found.
+        self.next_sweep = match self.ceilings.is_empty() {
+            true => now + SWEEP_INTERVAL,
+            false => now + TICK_INTERVAL,
+        };
         let ended = self
             .requests
             .iter()
@@ -134,18 +152,14 @@
             &self.pauses,
             &self.ledger,
         );
-        let candidate = |replica: &placement::Replica, version: Option<u64>| Candidate {
-            name: replica.upstream.name.clone(),
-            zone: replica.upstream.zone.clone(),
-            slots: replica.upstream.slots,
-            token_capacity: capacity
-                .get(&replica.upstream.service)
-                .copied()
-                .unwrap_or(0),
-            unscheduled_requests: unscheduled
-                .get(&replica.upstream.name)
-                .copied()
-                .unwrap_or(0),
+        let (ceilings, list, checks) = (&self.ceilings, &self.list, &self.checks);
+        let candidate = |upstream: &Upstream, version: Option<u64>| Candidate {
+            name: upstream.name.clone(),
+            zone: upstream.zone.clone(),
+            slots: upstream.slots,
+            ceiling: ceilings.ceiling(upstream, now),
+            token_capacity: capacity.get(&upstream.service).copied().unwrap_or(0),
+            unscheduled_requests: unscheduled.get(&upstream.name).copied().unwrap_or(0),
             version,
         };
         let (mut missing, mut tried, mut gone) = (Vec::new(), Vec::new(), Vec::new());
@@ -167,16 +181,23 @@
                         group.software.is_some() && !holders.any(|one| serves_group(&one))
                     };
                     let found: Rc<[Candidate]> = match &group.adapter {
+                        None if group.model.is_empty() => {
+                            let listed = list.upstreams.iter();
+                            let live = listed
+                                .filter(|one| one.service == group.service && !one.draining)
+                                .filter(|one| !checks.is_gone(&one.name, now));
+                            live.map(|one| candidate(one, None)).collect()
+                        }
                         None => {
                             let holders = placement.holders(&group.model, now);
                             let holders = holders.filter(serves_group);
-                            holders.map(|one| candidate(one, None)).collect()
+                            holders.map(|one| candidate(&one.upstream, None)).collect()
                         }
                         Some(adapter) => {
                             let usable = placement.usable(adapter, now).into_iter();
                             let usable = usable.filter(|(one, _)| serves_group(one));
                             usable
-                                .map(|(one, version)| candidate(one, Some(version)))
+                                .map(|(one, version)| candidate(&one.upstream, Some(version)))
                                 .collect()
                         }
                     };
--- a/crates/tanagershift/src/gateway/hub/reachability.rs
+++ b/crates/tanagershift/src/gateway/hub/reachability.rs
@@ -12,7 +12,10 @@
 use tokio::{sync::mpsc, time::Instant};
 
 use super::{Input, LeaderState};
-use crate::{gateway::Gateway, id};
+use crate::{
+    gateway::{Gateway, message::Upstream},
+    id,
+};
 
 /// Time after a check that found a replica gone until the next one.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
@@ -25,6 +28,8 @@
     /// When each replica is checked next.
     due: BTreeMap<id::Upstream, Instant>,
     running: BTreeSet<id::Upstream>,
+    /// Until when each upstream of a plain service counts as gone.
+    gone_until: BTreeMap<id::Upstream, Instant>,
 }
 
 impl Checks {
@@ -33,6 +38,12 @@
         self.due.entry(replica.to_owned()).or_insert(now);
     }
 
+    /// Whether an upstream of a plain service is gone.
+    pub(super) fn is_gone(&self, upstream: &str, now: Instant) -> bool {
+        let until = self.gone_until.get(upstream);
+        until.is_some_and(|until| now < *until)
+    }
+
     /// When the next check is due; `None` if there is none.
     pub(super) fn next_due(&self) -> Option<Instant> {
         let waiting = self
@@ -54,14 +65,15 @@
         let due = self.checks.due.iter().filter(|(_, due)| now >= **due);
         let due: Vec<id::Upstream> = due.map(|(name, _)| name.clone()).collect();
         for name in due {
-            let Some(replica) = self.placement.replicas().get(&name) else {
+            let Some(upstream) = self.checkable(&name) else {
                 self.checks.due.remove(&name);
+                self.checks.gone_until.remove(&name);
                 continue;
             };
             if !self.checks.running.insert(name.clone()) {
                 continue;
             }
-            let (term, upstream) = (self.term, replica.upstream.clone());
+            let term = self.term;
             let (inputs, gateway) = (inputs.clone(), gateway.clone());
             tokio::spawn(async move {
                 let gone = gateway.is_gone(&upstream).await;
@@ -72,6 +84,16 @@
         }
     }
 
+    /// A replica, or an upstream of a plain service to which this leader assigns requests.
+    fn checkable(&self, name: &str) -> Option<Upstream> {
+        if let Some(replica) = self.placement.replicas().get(name) {
+            return Some(replica.upstream.clone());
+        }
+        let upstream = self.list.upstreams.iter().find(|one| one.name == name)?;
+        let is_assigned = self.ceilings.is_bounded(&upstream.service);
+        is_assigned.then(|| upstream.clone())
+    }
+
     /// Applies the outcome of a check.
     pub(super) fn apply_check(&mut self, replica: &str, gone: bool, now: Instant) {
         self.checks.running.remove(replica);
@@ -82,9 +104,12 @@
                     .due
                     .insert(replica.to_owned(), now + CHECK_INTERVAL);
                 self.placement.set_gone(replica, Some(now + GONE_TTL));
+                let until = now + GONE_TTL;
+                self.checks.gone_until.insert(replica.to_owned(), until);
             }
             false => {
                 self.checks.due.remove(replica);
+                self.checks.gone_until.remove(replica);
                 self.placement.set_gone(replica, None);
             }
         }
--- a/crates/tanagershift/src/gateway/job.rs
+++ b/crates/tanagershift/src/gateway/job.rs
@@ -124,6 +124,8 @@
     pub zone: id::Zone,
     /// Requests that it runs concurrently.
     pub slots: u32,
+    /// Requests that may be open there at once, if it is brittle.
+    pub ceiling: Option<u32>,
     /// Capacity of its KV cache in tokens; zero if unknown.
     pub token_capacity: u32,
     /// Open requests there that were not assigned by this scheduler.
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -95,6 +95,10 @@
     /// when unchanged.
     #[prost(message, repeated, tag = "17")]
     pub helpers: Vec<Helper>,
+    /// Upstreams that say that they are brittle, or no more; the first notice of a watch carries all that
+    /// are.
+    #[prost(message, repeated, tag = "18")]
+    pub brittle: Vec<BrittleReport>,
 }
 
 /// The platform's list of upstreams.
@@ -235,6 +239,47 @@
     /// Whether the gateway can help others; absent when the tally does not say.
     #[prost(message, optional, tag = "14")]
     pub reach: Option<ReachReport>,
+    /// What answers to this gateway said first or last of brittle upstreams.
+    #[prost(message, repeated, tag = "15")]
+    pub brittle: Vec<BrittleReport>,
+    /// Requests that upstreams of brittle services have rejected for want of room, since the previous
+    /// tally.
+    #[prost(message, repeated, tag = "16")]
+    pub rejections: Vec<Rejections>,
+    /// Those of the requests in `open` that the receiving leader has not assigned; absent if an older
+    /// host reports.
+    #[prost(message, optional, tag = "17")]
+    pub unassigned: Option<Counts>,
+}
+
+/// Whether an upstream says that it is brittle.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct BrittleReport {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Service that it belongs to.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Requests that it can reject within a second before it falls over; absent if it is not brittle.
+    #[prost(uint32, optional, tag = "3")]
+    pub allowance: Option<u32>,
+    /// Milliseconds since the answer that said so.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
+/// Requests that an upstream has rejected for want of room.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Rejections {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Number of requests.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// How many requests an upstream takes from all hosts together.
@@ -385,9 +430,9 @@
     pub waiting: u32,
 }
 
-/// Asks the leader for a replica for one request or, without a model, whether a request that is
-/// suspected to crash replicas may be sent to one. The gateway keeps the call open until the request
-/// has ended.
+/// Asks the leader for a replica for one request or, without a model and unless it is bounded, whether a
+/// request that is suspected to crash replicas may be sent to one. The gateway keeps the call open until
+/// the request has ended.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct Ask {
@@ -397,7 +442,7 @@
     /// Service of the request's route.
     #[prost(string, tag = "2")]
     pub service: String,
-    /// Base model; empty if the gateway selects the upstream itself.
+    /// Base model; empty for a plain service.
     #[prost(string, tag = "3")]
     pub model: String,
     /// Adapter as MODEL/NAME; empty for the base model.
@@ -452,6 +497,10 @@
     /// Software version that has begun the answer to this request; absent before its first event.
     #[prost(string, optional, tag = "20")]
     pub software: Option<String>,
+    /// Whether the leader must select the upstream although the request names no model, since the
+    /// service is brittle.
+    #[prost(bool, tag = "21")]
+    pub is_bounded: bool,
 }
 
 impl Ask {
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! * `placement`: decides which adapter is loaded on which replica; `orders` carries it out.
 //! * `signal`: applies what upstreams' answers say about further requests.
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
+//! * `concurrency`: bounds the requests that are open at brittle upstreams.
 //! * `limit`: request rates that upstreams in need have named.
 //! * `connect`: connects to upstreams, directly or through another host (`tunnel`, `tunnel_stream`);
 //!   `reach` decides which,
@@ -32,6 +33,7 @@
 pub mod choose;
 pub mod client;
 pub mod compression;
+pub mod concurrency;
 pub mod configuration;
 pub mod connect;
 pub mod connection;
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -43,6 +43,7 @@
             let parsed_head = gateway.dialect.parse_response_head(head);
             gateway.apply_signal(&upstream, head, &parsed_head, Origin::Order);
             gateway.observe_limit(&upstream, &parsed_head);
+            gateway.observe_brittle(&upstream, &parsed_head);
             gateway.dialect.order_outcome(head.status)
         }
         Err(Error::Connect { .. } | Error::Withheld | Error::Quarantined | Error::Unconfirmed) => {
@@ -81,6 +82,7 @@
                     let parsed_head = gateway.dialect.parse_response_head(&head);
                     gateway.apply_signal(&upstream, &head, &parsed_head, Origin::Report);
                     gateway.observe_limit(&upstream, &parsed_head);
+                    gateway.observe_brittle(&upstream, &parsed_head);
                 }
                 Some(report)
             }
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -454,6 +454,7 @@
             name: format!("r{number}"),
             zone: "a".to_owned(),
             slots: 64,
+            ceiling: None,
             token_capacity: 120_000,
             unscheduled_requests: 0,
             version: None,
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -130,13 +130,32 @@
     /// Rate at which prompts are admitted to each replica of a service, by service.
     prompt_rates: BTreeMap<String, PromptRate>,
     running: BTreeMap<JobNumber, RunningJob>,
+    /// Plain services at which jobs are late.
+    overloads: BTreeMap<String, Overload>,
 }
 
+/// A time in which jobs of a plain service wait too long.
+#[derive(Clone, Copy, Debug)]
+struct Overload {
+    since: Instant,
+    /// Jobs that were assigned since then.
+    assigned: u32,
+    /// Whether it has lasted for longer than a job waits, so that it is no burst: jobs that arrive take the
+    /// places, and most late ones are hopeless.
+    is_lasting: bool,
+}
+
+/// Part of the time that a job waits for which late jobs are kept in a lasting overload, so that upstreams
+/// run on when fewer arrive.
+const KEPT_SHARE: f64 = 0.25;
+
 /// A job that was assigned to a replica and has not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningJob {
     /// Replica that runs it.
     pub replica: id::Upstream,
+    /// Host of its gateway.
+    pub host: id::Host,
     /// Adapter that it uses; `None` for the base model alone.
     pub adapter: Option<String>,
     /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
@@ -157,6 +176,7 @@
             loads: BTreeMap::new(),
             prompt_rates: BTreeMap::new(),
             running: BTreeMap::new(),
+            overloads: BTreeMap::new(),
         }
     }
 
@@ -234,6 +254,23 @@
         load.map_or(0, |load| load.jobs.len() as u32)
     }
 
+    /// Number of jobs of a host's gateway that were assigned to a replica and have not ended.
+    pub fn running_of(&self, host: &str, replica: &str) -> u32 {
+        let Some(load) = self.loads.get(replica) else {
+            return 0;
+        };
+        let jobs = load.jobs.keys();
+        let running = jobs.filter_map(|number| self.running.get(number));
+        running.filter(|job| job.host == host).count() as u32
+    }
+
+    /// Services with waiting jobs that replicas could run.
+    pub fn services_waiting(&self) -> BTreeSet<String> {
+        let busy = self.groups.iter();
+        let busy = busy.filter(|(_, queue)| queue.busy_since.is_some());
+        busy.map(|(group, _)| group.service.clone()).collect()
+    }
+
     /// Waiting jobs of a group.
     pub fn waiting_in(&self, group: &JobGroup) -> Vec<JobNumber> {
         let queue = self.groups.get(group);
@@ -306,6 +343,7 @@
         if !ledger.is_empty() {
             ranked.sort_by_cached_key(|((.., number), _, _)| suspected(number));
         }
+        let mut passed_over: BTreeMap<String, u32> = BTreeMap::new();
         for ((.., number), found, late_and_busy) in ranked {
             let Some(job) = self.waiting.get(&number) else {
                 continue;
@@ -326,6 +364,9 @@
             };
             if let Some((cost, chosen)) = candidate {
                 let adapter = job.adapter.clone();
+                if let Some(overload) = self.overloads.get_mut(&job.service) {
+                    overload.assigned += 1;
+                }
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
                 }
@@ -340,18 +381,62 @@
                     holders: found.len(),
                     is_trial: ruling == Ruling::Trial,
                 });
-            } else if now >= job.refuse_at || ledger.holds_until(&job.keys, job.refuse_at, now) {
+            } else if now >= job.refuse_at
+                || self.is_hopeless(job, *passed_over.get(&job.service).unwrap_or(&0), now)
+                || ledger.holds_until(&job.keys, job.refuse_at, now)
+            {
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
                 }
                 self.remove(number);
                 let holders = found.len();
                 decisions.push(Decision::Refuse { number, holders });
+            } else if job.model.is_empty() {
+                *passed_over.entry(job.service.clone()).or_default() += 1;
             }
         }
+        self.update_overloads(now);
         decisions
     }
 
+    /// Whether a job of a plain service is late and will find no place, with this many before it. Callers use
+    /// a refusal that comes early to come back.
+    fn is_hopeless(&self, job: &Job, before: u32, now: Instant) -> bool {
+        let overload = self.overloads.get(&job.service);
+        let Some(overload) = overload.filter(|overload| overload.is_lasting) else {
+            return false;
+        };
+        let per_second = f64::from(overload.assigned) / (now - overload.since).as_secs_f64();
+        let kept_time = (job.refuse_at - job.received_at).mul_f64(KEPT_SHARE);
+        let kept = per_second * kept_time.as_secs_f64();
+        job.model.is_empty() && now > job.objective && f64::from(before) > kept
+    }
+
+    /// Records at which plain services jobs are late. A lasting overload ends when none waits.
+    fn update_overloads(&mut self, now: Instant) {
+        let plain = self.groups.iter();
+        let plain = plain.filter(|(group, _)| group.model.is_empty());
+        let waiting: BTreeSet<&String> = plain.clone().map(|(group, _)| &group.service).collect();
+        self.overloads
+            .retain(|service, _| waiting.contains(service));
+        for (group, queue) in plain {
+            let mut jobs = queue.jobs.iter().filter_map(|one| self.waiting.get(one));
+            let late = jobs.find(|job| now > job.objective);
+            let Some(late) = late else {
+                self.overloads
+                    .retain(|service, overload| *service != group.service || overload.is_lasting);
+                continue;
+            };
+            let overload = self.overloads.entry(group.service.clone());
+            let overload = overload.or_insert(Overload {
+                since: now,
+                assigned: 0,
+                is_lasting: false,
+            });
+            overload.is_lasting |= now - overload.since >= late.refuse_at - late.received_at;
+        }
+    }
+
     /// Removes the waiting jobs that crash replicas, or that have a prompt part which does.
     fn bar(&mut self, ledger: &Ledger, now: Instant) -> Vec<Decision> {
         if ledger.is_empty() {
@@ -438,7 +523,14 @@
         let load = self.loads.get(&candidate.name).unwrap_or(&idle);
         let open = candidate.unscheduled_requests + load.jobs.len() as u32;
         let slots = f64::from(candidate.slots.max(1));
-        if f64::from(open + 1) > (slots * self.config.slot_share).max(1.0) {
+        let usual = (slots * self.config.slot_share).max(1.0);
+        let most = match candidate.ceiling {
+            // A plain service has no prompts that run slower beside others.
+            Some(ceiling) if job.model.is_empty() => f64::from(ceiling),
+            Some(ceiling) => f64::from(ceiling).min(usual),
+            None => usual,
+        };
+        if f64::from(open + 1) > most {
             return None;
         }
         let used: u32 = load.jobs.values().sum();
@@ -481,6 +573,7 @@
         load.record_parts(&job, lifetime, now);
         let running = RunningJob {
             replica: replica.to_owned(),
+            host: job.host,
             adapter: job.adapter,
             keys: job.keys,
             is_resumable: job.is_resumable,
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -39,6 +39,7 @@
         name: name.to_owned(),
         zone: zone.to_owned(),
         slots: 64,
+        ceiling: None,
         token_capacity: 120_000,
         unscheduled_requests: 0,
         version: Some(1),
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use tokio::time::{Duration, Instant, timeout_at};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
 use super::{
     Gateway,
-    ask::{Answer, ask},
+    ask::{Answer, ask, give_up_at},
     choose::{Choice, Requirements, choose},
+    concurrency::Start,
     exchange::{Job, Resumption, SelectedUpstream},
     forward::{MIN_SERVICE_TIME, Rejection, STARTUP_WAIT, Trace},
     quarantine::Standing,
@@ -18,15 +19,19 @@
 const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for another leader, which can say whether a stream is recorded. It covers an election.
 const LEADER_WAIT: Duration = Duration::from_millis(1500);
+/// Shortest time that a caller is told to wait for brittle upstreams that are full.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a gateway without a leader looks again for a free place at brittle upstreams.
+const PLACE_RECHECK: Duration = Duration::from_millis(20);
 /// Why a stream is refused that may have to run at one of several software versions.
 const UNKNOWN_SOFTWARE_REASON: &str =
     "the software version of the stream is not known without a leader";
 
 /// Selects an upstream.
 ///
-/// The leader selects one for requests that name a model. Without a leader, and for other requests, the
-/// gateway selects one itself, and waits while no replica has the adapter or base model that the
-/// request needs.
+/// The leader selects one for requests that name a model, and for all requests to brittle upstreams.
+/// Without a leader, and for other requests, the gateway selects one itself, and waits while no replica has
+/// the adapter or base model that the request needs, or its share of the places is taken.
 ///
 /// # Errors
 ///
@@ -39,7 +44,8 @@
 ) -> Result<SelectedUpstream, Rejection> {
     let began = Instant::now();
     reject_convicted(gateway, gateway.quarantine().standing(&job.keys))?;
-    if job.head.model.is_some() {
+    let is_bounded = gateway.view().shares.is_bounded(&job.service);
+    if job.head.model.is_some() || is_bounded {
         if let Some(selected) = ask_leaders(gateway, job, resumption, trace).await? {
             return Ok(selected);
         }
@@ -57,6 +63,7 @@
     loop {
         changes.mark_unchanged();
         let now = Instant::now();
+        let turn = gateway.view().take_turn(&job.service, now);
         let requirements = Requirements {
             service: &job.service,
             model: job.head.model.as_deref(),
@@ -64,8 +71,12 @@
             software: software.as_deref(),
             tried: &trace.tried,
             zone: &gateway.zone,
+            has_turn: turn == Some(Start::Now),
+        };
+        let choice = match turn {
+            Some(Start::At(_)) => Choice::Full,
+            Some(Start::Now) | None => choose(&gateway.view(), &requirements, now),
         };
-        let choice = choose(&gateway.view(), &requirements, now);
         match choice {
             Choice::Send(upstream, version) => {
                 if wait_guard.is_some() {
@@ -93,6 +104,25 @@
                 rejection.retry_after = Some(until - now);
                 return Err(rejection);
             }
+            Choice::Full => {
+                let next_at = match turn {
+                    Some(Start::At(next_at)) => next_at,
+                    Some(Start::Now) | None => now + PLACE_RECHECK,
+                };
+                if next_at >= give_up_at(job) {
+                    let mut rejection = Rejection::retry_later("every upstream is full");
+                    rejection.retry_after = Some((next_at - now).max(FULL_RETRY_AFTER));
+                    return Err(rejection);
+                }
+                sleep_until(next_at).await;
+                // A leader that has begun meanwhile assigns the places.
+                if leave.is_none()
+                    && let Some(selected) = ask_leaders(gateway, job, resumption, trace).await?
+                {
+                    return Ok(selected);
+                }
+                continue;
+            }
             // The host has just started, and the list is on its way.
             Choice::NoUpstream if now < startup_until && !has_list(gateway) => {}
             Choice::NoUpstream => {
@@ -126,18 +156,21 @@
     let mut notices = gateway.last_notice_at.subscribe();
     loop {
         notices.mark_unchanged();
-        if let Some(selected) = ask_leader(gateway, job, resumption, trace).await? {
-            return Ok(Some(selected));
-        }
-        if !needs_leader(gateway, job, resumption, trace) {
-            return Ok(None);
-        }
+        let is_answered = match ask_leader(gateway, job, resumption, trace).await? {
+            Asked::Assigned(selected) => return Ok(Some(*selected)),
+            Asked::Unassigned { is_answered } => is_answered,
+        };
+        let needs_leader = || needs_leader(gateway, job, resumption, trace);
         let lost_at = *lost_at.get_or_insert_with(Instant::now);
-        let until = job.deadline.min(lost_at + LEADER_WAIT);
+        let until = match (needs_leader(), waits_for_leader(gateway, job)) {
+            (true, _) => job.deadline.min(lost_at + LEADER_WAIT),
+            (false, Some(until)) if !is_answered => until,
+            (false, _) => return Ok(None),
+        };
         // However the wait ends, the leader is asked again if there is time.
         let _ = timeout_at(until, notices.changed()).await;
         if Instant::now() >= until {
-            return match needs_leader(gateway, job, resumption, trace) {
+            return match needs_leader() {
                 true => Err(Rejection::retry_later(UNKNOWN_SOFTWARE_REASON)),
                 false => Ok(None),
             };
@@ -145,6 +178,17 @@
     }
 }
 
+/// Until when a request to brittle upstreams waits for the next leader, if one was lost a moment ago: until
+/// then others may have requests there that this host does not know of.
+fn waits_for_leader(gateway: &Gateway, job: &Job) -> Option<Instant> {
+    if !gateway.view().shares.is_bounded(&job.service) {
+        return None;
+    }
+    let lost_at = (*gateway.last_notice_at.borrow())?;
+    let until = (lost_at + LEADER_WAIT).min(give_up_at(job));
+    (Instant::now() < until).then_some(until)
+}
+
 /// Whether only a leader can know the software version of a stream: one may have recorded it, or it may
 /// have begun at a replica that this host has not heard of.
 fn needs_leader(gateway: &Gateway, job: &Job, resumption: &Resumption, trace: &Trace) -> bool {
@@ -247,22 +291,37 @@
     gateway.view().has_list()
 }
 
+/// Outcome of asking one leader.
+#[derive(Debug)]
+enum Asked {
+    /// The leader has selected an upstream.
+    Assigned(Box<SelectedUpstream>),
+    /// The gateway must select one itself.
+    Unassigned {
+        /// Whether that needs no other leader: there is one, but it leaves the selection to gateways.
+        is_answered: bool,
+    },
+}
+
 /// Asks the leader for a replica, again if the replica leaves or has asked this gateway for a pause,
-/// which the leader may not know yet. Returns `None` if the gateway must select one itself.
+/// which the leader may not know yet.
 async fn ask_leader(
     gateway: &Arc<Gateway>,
     job: &Job,
     resumption: &Resumption,
     trace: &mut Trace,
-) -> Result<Option<SelectedUpstream>, Rejection> {
+) -> Result<Asked, Rejection> {
     let began = Instant::now();
     let mut excluded = trace.tried.clone();
+    if job.head.model.is_none() {
+        excluded.extend(gateway.view().ejected(&job.service, began));
+    }
     loop {
         let paused = gateway
             .view()
             .service_paused_until(&job.service, Instant::now());
         if paused.is_some() {
-            return Ok(None);
+            return Ok(Asked::Unassigned { is_answered: true });
         }
         match ask(gateway, job, resumption, &excluded).await {
             Answer::Granted {
@@ -286,20 +345,22 @@
                     .metrics
                     .replica_wait
                     .observe(began.elapsed().as_secs_f64());
-                return Ok(Some(SelectedUpstream {
+                return Ok(Asked::Assigned(Box::new(SelectedUpstream {
                     upstream,
                     version,
                     grant: Some(call),
                     is_assigned: true,
                     is_trial,
-                }));
+                })));
             }
             Answer::Refused(rejection) => return Err(rejection),
             Answer::Unanswered => {
                 trace.may_be_recorded = true;
-                return Ok(None);
+                return Ok(Asked::Unassigned { is_answered: false });
             }
-            Answer::Allowed(_) | Answer::NoLeader => return Ok(None),
+            Answer::NoLeader => return Ok(Asked::Unassigned { is_answered: false }),
+            // A leader of an older version does not assign requests of plain services.
+            Answer::Allowed(_) => return Ok(Asked::Unassigned { is_answered: true }),
         }
     }
 }
--- a/crates/tanagershift/src/gateway/signal.rs
+++ b/crates/tanagershift/src/gateway/signal.rs
@@ -38,6 +38,19 @@
         }
     }
 
+    /// Applies what an upstream's answer says about whether it is brittle.
+    pub fn observe_brittle(&self, upstream: &Upstream, parsed_head: &ResponseHead) {
+        let instance = parsed_head.instance.as_deref();
+        if instance.is_some_and(|instance| instance != upstream.instance) {
+            return;
+        }
+        let Upstream { name, service, .. } = upstream;
+        let (allowance, now) = (parsed_head.brittle, Instant::now());
+        if self.view().shares.observe(name, service, allowance, now) {
+            self.tally_wanted.notify_one();
+        }
+    }
+
     /// Applies the departures that a notice of the leader names.
     pub fn apply_departures(&self, upstreams: &[String]) {
         let signal = Signal {
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -335,10 +335,15 @@
             adapter: Some("base/a"),
             tried,
             zone: "a",
+            has_turn: false,
         };
         match choose(view, &requirements, now) {
             Choice::Send(upstream, version) => Some((upstream.name.clone(), version)),
-            Choice::NoReplica | Choice::NoUpstream | Choice::Paused(_) | Choice::Limited(_) => None,
+            Choice::NoReplica
+            | Choice::NoUpstream
+            | Choice::Paused(_)
+            | Choice::Limited(_)
+            | Choice::Full => None,
         }
     }
 
@@ -391,6 +396,7 @@
             adapter: Some("base/a"),
             tried: &[],
             zone: "a",
+            has_turn: false,
         };
         let choice = choose(&view, &requirements, now);
         let end = now + Duration::from_secs(2);
@@ -427,7 +433,7 @@
         let mut view = view();
         let now = Instant::now();
         assert_eq!(selected(&view, &[], now), Some(("r1".to_owned(), Some(1))));
-        view.count_opened("r1");
+        view.count_opened("r1", false);
         assert_eq!(selected(&view, &[], now), Some(("r2".to_owned(), Some(1))));
     }
 
@@ -483,7 +489,7 @@
     fn open_requests_of_other_gateways_count_as_load() {
         let mut view = view();
         let now = Instant::now();
-        view.count_opened("r2");
+        view.count_opened("r2", false);
         view.report_open();
         let open = Counts {
             list: 1,
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -10,9 +10,13 @@
 use tokio::time::Instant;
 
 use super::{
+    concurrency::{Shares, Start},
     configuration::Configuration,
     limit::Permits,
-    message::{Baseline, Counts, Demand, List, Notice, Pause, Residency, ServiceDemand, Upstream},
+    message::{
+        Baseline, Counts, Demand, List, Notice, Pause, Rejections, Residency, ServiceDemand,
+        Upstream,
+    },
     placement::FIRST_VERSION,
 };
 use crate::{admission::Admission, clock, id};
@@ -41,6 +45,8 @@
 pub struct Stats {
     /// Requests that this gateway has open at the upstream.
     pub open: u32,
+    /// Those of them that the leader which this gateway watches has not assigned.
+    unassigned: u32,
     /// Value of `open` in the last tally that was sent.
     reported_open: u32,
     /// Consecutive failures.
@@ -59,6 +65,9 @@
     pub upstream: Arc<Upstream>,
     /// Open requests of all gateways according to the leader's last notice.
     total_open: u32,
+    /// Requests that this gateway may have open there without a leader, if the upstream is brittle: those
+    /// that it had, and its part of the free slots.
+    share: u32,
     /// This gateway's own observations.
     pub stats: Stats,
 }
@@ -76,6 +85,18 @@
         }
     }
 
+    /// Whether this gateway's share has room for a request.
+    pub fn has_share_left(&self) -> bool {
+        self.stats.open < self.share
+    }
+
+    /// Sets the share of one of `hosts` gateways.
+    fn set_share(&mut self, hosts: u32) {
+        let free = self.upstream.slots.saturating_sub(self.total_open);
+        let part = free.checked_div(hosts).unwrap_or(0);
+        self.share = self.stats.reported_open + part;
+    }
+
     /// Whether requests avoid the upstream after failures.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.stats.ejected_until.is_some_and(|until| now < until)
@@ -100,6 +121,11 @@
     pub admission: Admission,
     /// Limits that upstreams have named, and permits to send to them.
     pub limits: Permits,
+    /// Brittle upstreams, and this gateway's turns at them.
+    pub shares: Shares,
+    /// Number of the watch of a leader; requests that were assigned in an earlier one are unknown to the
+    /// leader.
+    watch: u64,
     /// Requests for services that have an upstream with a limit, since the previous tally.
     limited_demand: BTreeMap<String, u32>,
     /// Software version at which streams of each service may begin without a leader.
@@ -152,15 +178,16 @@
         for residency in &notice.residencies {
             self.apply_residency(residency);
         }
-        if let Some(open) = &notice.open {
-            self.apply_open(open);
-        }
         for limit in &notice.limits {
             self.limits.set(&limit.upstream, limit.per_second);
         }
         for permit in &notice.permits {
             self.limits.add(permit, now);
         }
+        for brittle in &notice.brittle {
+            self.shares
+                .set(&brittle.upstream, &brittle.service, brittle.allowance);
+        }
         for baseline in &notice.baselines {
             let Baseline { service, software } = baseline.clone();
             self.baselines.insert(service, software);
@@ -168,6 +195,20 @@
         if notice.hosts > 0 {
             self.hosts = notice.hosts;
         }
+        if let Some(open) = &notice.open {
+            self.apply_open(open);
+        }
+    }
+
+    /// Begins to watch a leader, which knows none of the open requests.
+    pub fn begin_watch(&mut self, now: Instant) {
+        self.watch += 1;
+        for known in self.upstreams.values_mut() {
+            known.stats.unassigned = known.stats.open;
+        }
+        self.limits.report_again(now);
+        self.shares.report_again(now);
+        self.admission.forget_confirmations();
     }
 
     fn apply_announcement(&mut self, adapter: &str, version: u64, now: Instant) {
@@ -181,6 +222,7 @@
     /// Replaces the upstream list. Upstreams that are no longer listed are dropped together with
     /// their residencies. `read_at` is when the list was read, by [`clock::now`].
     pub fn apply_list(&mut self, list: &List, read_at: Instant, now: Instant) {
+        let hosts = self.hosts;
         let mut known = std::mem::take(&mut self.upstreams);
         for upstream in &list.upstreams {
             let mut entry = known
@@ -188,6 +230,7 @@
                 .unwrap_or_else(|| KnownUpstream {
                     upstream: Arc::new(upstream.clone()),
                     total_open: 0,
+                    share: upstream.slots.checked_div(hosts).unwrap_or(0),
                     stats: Stats::default(),
                 });
             if *entry.upstream != *upstream {
@@ -211,6 +254,7 @@
         let names: BTreeSet<&str> = self.list_order.iter().map(String::as_str).collect();
         self.admission.retain_listed(&names, now);
         self.limits.retain_listed(&names);
+        self.shares.retain_listed(&names, now);
     }
 
     fn apply_residency(&mut self, residency: &Residency) {
@@ -234,6 +278,7 @@
         for (name, total_open) in self.list_order.iter().zip(&open.counts) {
             if let Some(known) = self.upstreams.get_mut(name) {
                 known.total_open = *total_open;
+                known.set_share(self.hosts);
             }
         }
     }
@@ -433,6 +478,71 @@
         }
     }
 
+    /// Returns those of this gateway's open requests at each upstream that the leader has not assigned, for
+    /// a tally.
+    pub fn unassigned_open(&self) -> Counts {
+        let unassigned = |name| {
+            let known = self.upstreams.get(name);
+            known.map_or(0, |known: &KnownUpstream| known.stats.unassigned)
+        };
+        Counts {
+            list: self.list_number,
+            counts: self.list_order.iter().map(unassigned).collect(),
+        }
+    }
+
+    /// Takes the requests that upstreams of brittle services have rejected since the previous tally.
+    pub fn take_rejections(&mut self) -> Vec<Rejections> {
+        let rejections = self.shares.take_rejections().into_iter();
+        rejections
+            .map(|(upstream, count)| Rejections { upstream, count })
+            .collect()
+    }
+
+    /// Upstreams of a service that requests avoid after failures, unless they avoid all of them.
+    pub fn ejected(&self, service: &str, now: Instant) -> Vec<id::Upstream> {
+        let all = self.upstreams_of(service);
+        let (ejected, others): (Vec<&KnownUpstream>, Vec<_>) =
+            all.partition(|known| known.is_ejected(now));
+        if others.is_empty() {
+            return Vec::new();
+        }
+        let ejected = ejected.into_iter();
+        ejected.map(|known| known.upstream.name.clone()).collect()
+    }
+
+    /// Whether a request that is about to be sent to an upstream, and counted there, is within this
+    /// gateway's share of its places.
+    pub fn is_within_share(&self, upstream: &Upstream) -> bool {
+        if !self.shares.is_bounded(&upstream.service) {
+            return true;
+        }
+        let known = self.upstreams.get(&upstream.name);
+        let is_within = known.is_some_and(|known| known.stats.open <= known.share);
+        is_within || self.share_of(&upstream.service).1 == 0
+    }
+
+    /// Slots of the live upstreams of a service, and this gateway's share of them.
+    fn share_of(&self, service: &str) -> (u32, u32) {
+        let of_service = self.upstreams_of(service);
+        let live = of_service.filter(|known| !known.upstream.draining);
+        live.fold((0, 0), |(slots, share), known| {
+            (slots + known.upstream.slots, share + known.share)
+        })
+    }
+
+    /// Takes this gateway's turn at the upstreams of a service without a leader, if its share of their
+    /// places is less than one. `None` if it has a share, or if the service is not brittle.
+    pub fn take_turn(&mut self, service: &str, now: Instant) -> Option<Start> {
+        if !self.shares.is_bounded(service) {
+            return None;
+        }
+        let (slots, share) = self.share_of(service);
+        let hosts = self.hosts;
+        let draw = rand::random();
+        (share == 0).then(|| self.shares.take_turn(service, slots, hosts, draw, now))
+    }
+
     /// Counts a request for a service towards its demand for upstreams with a limit.
     pub fn count_limited_demand(&mut self, service: &str) {
         if self.limits.is_empty() {
@@ -462,17 +572,26 @@
         known.map_or((0, 0), |known| (known.stats.open, known.open_requests(now)))
     }
 
-    /// Counts a request that is being sent to an upstream.
-    pub fn count_opened(&mut self, upstream: &str) {
+    /// Counts a request that is being sent to an upstream. Returns the watch in which the leader has
+    /// assigned it; `None` if it has not.
+    pub fn count_opened(&mut self, upstream: &str, is_assigned: bool) -> Option<u64> {
         if let Some(known) = self.upstreams.get_mut(upstream) {
             known.stats.open += 1;
+            known.stats.unassigned += u32::from(!is_assigned);
         }
+        is_assigned.then_some(self.watch)
     }
 
-    /// Counts a request that has ended at an upstream.
-    pub fn count_closed(&mut self, upstream: &str) {
+    /// Counts a request that has ended at an upstream; `assigned_in` is the watch in which the leader has
+    /// assigned it.
+    pub fn count_closed(&mut self, upstream: &str, assigned_in: Option<u64>) {
+        let is_assigned = assigned_in == Some(self.watch);
         if let Some(known) = self.upstreams.get_mut(upstream) {
-            known.stats.open = known.stats.open.saturating_sub(1);
+            let stats = &mut known.stats;
+            stats.open = stats.open.saturating_sub(1);
+            if !is_assigned {
+                stats.unassigned = stats.unassigned.saturating_sub(1);
+            }
         }
     }
 
