--- a/crates/tanagershift/src/gateway/concurrency/mod.rs
+++ b/crates/tanagershift/src/gateway/concurrency/mod.rs
@@ -5,6 +5,8 @@
 //! ([`Ceilings`]). A gateway without a leader keeps to its share of the places ([`Shares`]).
 
 mod ceiling;
+pub mod message;
+mod places;
 mod share;
 #[cfg(test)]
 mod tests;
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `concurrency`: bounds the requests that are open at brittle upstreams.
 //! * `limit`: request rates that upstreams in need have named.
+//! * `overload`: which late requests of a plain service are refused early.
 //! * `connect`: connects to upstreams, directly or through another host (`tunnel`, `tunnel_stream`);
 //!   `reach` decides which,
 //!   `helpers` selects the hosts.
@@ -54,6 +55,7 @@
 pub mod message;
 pub mod metrics;
 pub mod orders;
+pub mod overload;
 pub mod patch;
 pub mod placement;
 pub mod progress;
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -18,6 +18,7 @@
 use super::{
     limit::Limits,
     message::Streams,
+    overload::Overloads,
     prompt_rate::PromptRate,
     quarantine::{Ledger, Ruling},
 };
@@ -130,25 +131,9 @@
     /// Rate at which prompts are admitted to each replica of a service, by service.
     prompt_rates: BTreeMap<String, PromptRate>,
     running: BTreeMap<JobNumber, RunningJob>,
-    /// Plain services at which jobs are late.
-    overloads: BTreeMap<String, Overload>,
+    overloads: Overloads,
 }
 
-/// A time in which jobs of a plain service wait too long.
-#[derive(Clone, Copy, Debug)]
-struct Overload {
-    since: Instant,
-    /// Jobs that were assigned since then.
-    assigned: u32,
-    /// Whether it has lasted for longer than a job waits, so that it is no burst: jobs that arrive take the
-    /// places, and most late ones are hopeless.
-    is_lasting: bool,
-}
-
-/// Part of the time that a job waits for which late jobs are kept in a lasting overload, so that upstreams
-/// run on when fewer arrive.
-const KEPT_SHARE: f64 = 0.25;
-
 /// A job that was assigned to a replica and has not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningJob {
@@ -176,7 +161,7 @@
             loads: BTreeMap::new(),
             prompt_rates: BTreeMap::new(),
             running: BTreeMap::new(),
-            overloads: BTreeMap::new(),
+            overloads: Overloads::default(),
         }
     }
 
@@ -364,9 +349,7 @@
             };
             if let Some((cost, chosen)) = candidate {
                 let adapter = job.adapter.clone();
-                if let Some(overload) = self.overloads.get_mut(&job.service) {
-                    overload.assigned += 1;
-                }
+                self.overloads.count_assigned(&job.service);
                 if let Some(service) = late_service {
                     self.prompt_rate(&service, now).count_late_request();
                 }
@@ -382,7 +365,11 @@
                     is_trial: ruling == Ruling::Trial,
                 });
             } else if now >= job.refuse_at
-                || self.is_hopeless(job, *passed_over.get(&job.service).unwrap_or(&0), now)
+                || self.overloads.is_hopeless(
+                    job,
+                    *passed_over.get(&job.service).unwrap_or(&0),
+                    now,
+                )
                 || ledger.holds_until(&job.keys, job.refuse_at, now)
             {
                 if let Some(service) = late_service {
@@ -399,42 +386,16 @@
         decisions
     }
 
-    /// Whether a job of a plain service is late and will find no place, with this many before it. Callers use
-    /// a refusal that comes early to come back.
-    fn is_hopeless(&self, job: &Job, before: u32, now: Instant) -> bool {
-        let overload = self.overloads.get(&job.service);
-        let Some(overload) = overload.filter(|overload| overload.is_lasting) else {
-            return false;
-        };
-        let per_second = f64::from(overload.assigned) / (now - overload.since).as_secs_f64();
-        let kept_time = (job.refuse_at - job.received_at).mul_f64(KEPT_SHARE);
-        let kept = per_second * kept_time.as_secs_f64();
-        job.model.is_empty() && now > job.objective && f64::from(before) > kept
-    }
-
-    /// Records at which plain services jobs are late. A lasting overload ends when none waits.
+    /// Records at which plain services jobs are late.
     fn update_overloads(&mut self, now: Instant) {
         let plain = self.groups.iter();
         let plain = plain.filter(|(group, _)| group.model.is_empty());
-        let waiting: BTreeSet<&String> = plain.clone().map(|(group, _)| &group.service).collect();
-        self.overloads
-            .retain(|service, _| waiting.contains(service));
-        for (group, queue) in plain {
+        let late = plain.map(|(group, queue)| {
             let mut jobs = queue.jobs.iter().filter_map(|one| self.waiting.get(one));
             let late = jobs.find(|job| now > job.objective);
-            let Some(late) = late else {
-                self.overloads
-                    .retain(|service, overload| *service != group.service || overload.is_lasting);
-                continue;
-            };
-            let overload = self.overloads.entry(group.service.clone());
-            let overload = overload.or_insert(Overload {
-                since: now,
-                assigned: 0,
-                is_lasting: false,
-            });
-            overload.is_lasting |= now - overload.since >= late.refuse_at - late.received_at;
-        }
+            (group.service.as_str(), late)
+        });
+        self.overloads.update(late, now);
     }
 
     /// Removes the waiting jobs that crash replicas, or that have a prompt part which does.
