hub: estimate unassigned requests as before while nothing is brittle

Suspected: counts that gateways tell are up to a notice interval old, so streams that ended since count as open, and requests wait for places that are free. The estimate before left them out. Change: the exact counts, also over a new list, only while a service is brittle.

--- a/crates/tanagershift/src/gateway/hub/concurrency.rs
+++ b/crates/tanagershift/src/gateway/hub/concurrency.rs
@@ -48,6 +48,17 @@
         }
     }
 
+    /// Estimate of the open requests at each upstream that this leader has not assigned, from all that were
+    /// open when the gateways last told it. Those that ended since do not keep others waiting.
+    pub(super) fn estimate_unscheduled(&self, open: &Counts) -> BTreeMap<id::Upstream, u32> {
+        let upstreams = self.list.upstreams.iter().zip(&open.counts);
+        let unscheduled = upstreams.map(|(upstream, count)| {
+            let scheduled = self.scheduler.running_on(&upstream.name);
+            (upstream.name.clone(), count.saturating_sub(scheduled))
+        });
+        unscheduled.collect()
+    }
+
     /// Open requests at each upstream that this leader has not assigned.
     pub(super) fn count_unscheduled(&self) -> BTreeMap<id::Upstream, u32> {
         let mut sums = vec![0_u32; self.list.upstreams.len()];
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -252,7 +252,9 @@
             number: self.list.number.max(self.term << 32) + 1,
             upstreams,
         };
-        self.move_counts(&list);
+        if !self.ceilings.is_empty() {
+            self.move_counts(&list);
+        }
         self.list = list;
         for watcher in &mut self.watchers {
             watcher.needs_snapshot |= first;
@@ -306,11 +308,15 @@
         for (upstream, count) in self.list.upstreams.iter().zip(&counts) {
             self.placement.set_open_requests(&upstream.name, *count);
         }
-        self.unscheduled_requests = self.count_unscheduled();
-        Counts {
+        let counts = Counts {
             list: self.list.number,
             counts,
-        }
+        };
+        self.unscheduled_requests = match self.ceilings.is_empty() {
+            true => self.estimate_unscheduled(&counts),
+            false => self.count_unscheduled(),
+        };
+        counts
     }
 
     /// Notifies gateways at once of newly loaded adapters that their requests wait for.
