accounts: who a caller is

Cause: nothing knew client accounts. Callers' credentials went on to upstreams as they came, and upstreams were not told whose request they run. Change: a configuration may hold accounts with keys, a priority and a quota. The gateway finds the account by the digest of its key, tells upstreams its name in place of the credentials, refuses unknown keys, and looks the key up again before each attempt. Requests rank by the account's priority and then the route's. Quotas are parsed and validated, but not yet enforced. Without accounts nothing changes.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -131,7 +131,7 @@
         max_output_tokens: output,
         prefix_digests: digests,
         part_tokens: tokens,
-        priority: job.route.priority.into(),
+        priority: job.rank.into(),
         objective_ms: millis(objective) as i64 - overdue_ms,
         give_up_ms: millis(give_up),
         tried: excluded.to_vec(),
@@ -143,6 +143,9 @@
         resumes: job.head.resumes.clone().unwrap_or_default(),
         software: resumption.software.clone(),
         is_bounded: gateway.view().shares.is_bounded(&job.service),
+        account: job.account_name(),
+        cost: job.cost(),
+        is_counted: false,
     }
 }
 
--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -9,6 +9,8 @@
 
 use snafu::Snafu;
 
+use super::account::{self, Accounts, Ranks};
+
 /// Kind of a route's requests; decides whether a request may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -56,6 +58,8 @@
     pub resumable: bool,
     /// Objective for the gap between two events of a stream; `None` for no objective.
     pub max_event_gap: Option<Duration>,
+    /// Whether callers need no key although the configuration has client accounts.
+    pub allows_anonymous: bool,
 }
 
 impl Route {
@@ -213,6 +217,12 @@
         /// Name of the route.
         route: String,
     },
+    /// A client account is not valid.
+    #[snafu(display("{source}"), context(false))]
+    Account {
+        /// What is wrong with it.
+        source: account::Error,
+    },
 }
 
 /// A complete, validated routing configuration.
@@ -224,6 +234,9 @@
     pub services: BTreeMap<String, Service>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Client accounts.
+    pub accounts: Accounts,
+    ranks: Ranks,
     /// Routes by host, longest prefix first.
     routes: HashMap<String, Vec<Arc<Route>>>,
 }
@@ -260,10 +273,40 @@
             version,
             services,
             limits,
+            accounts: Accounts::default(),
+            ranks: Ranks::default(),
             routes: by_host,
         })
     }
 
+    /// Adds client accounts.
+    ///
+    /// # Errors
+    ///
+    /// The accounts are not valid.
+    pub fn with_accounts(
+        self,
+        accounts: Vec<account::Account>,
+    ) -> Result<Self, ConfigurationError> {
+        let accounts = Accounts::new(accounts)?;
+        let priorities = self.routes().map(|route| route.priority);
+        let ranks = Ranks::new(priorities, &accounts);
+        Ok(Self {
+            accounts,
+            ranks,
+            ..self
+        })
+    }
+
+    /// Rank of a request among all others; zero is the most urgent. The account's priority goes before
+    /// the route's.
+    pub fn rank(&self, route: &Route, account: Option<&account::Account>) -> u8 {
+        match self.accounts.is_empty() {
+            true => route.priority,
+            false => self.ranks.of(route.priority, account),
+        }
+    }
+
     /// Returns the route of a request: of the host's routes, the one with the longest matching
     /// prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -67,6 +67,9 @@
     /// was sent.
     #[snafu(display("the upstream may not be the listed run"))]
     Unconfirmed,
+    /// The key of the caller's account was taken away.
+    #[snafu(display("the caller's key was taken away"))]
+    Unauthorized,
     /// The connection was closed before the request was written.
     #[snafu(display("connection was closed before the request was sent"))]
     Unsent,
@@ -86,6 +89,7 @@
             | Self::Withheld
             | Self::Quarantined
             | Self::Unconfirmed
+            | Self::Unauthorized
             | Self::Unsent => Verdict::NotRun,
             Self::Broken { .. } => Verdict::MayHaveRun,
         }
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    account,
     configuration::{Configuration, ConfigurationError},
     message::{Announcement, Upstream},
 };
@@ -37,6 +38,8 @@
     pub resume_after: Option<u64>,
     /// Id of the request whose answer began that stream, if the caller names it.
     pub resumes: Option<String>,
+    /// Key of the caller's account, if the caller sends one.
+    pub key: Option<account::Key>,
 }
 
 impl RequestHead {
@@ -46,6 +49,18 @@
     }
 }
 
+/// What a replica is told about the caller.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Identity {
+    /// What the caller sent, since the configuration holds no client accounts.
+    #[default]
+    Forwarded,
+    /// Nothing: the caller has no account, and needs none.
+    Anonymous,
+    /// Name of the caller's account, in place of the credentials.
+    Account(account::Name),
+}
+
 /// Values of the headers that the system adds to a request for a replica.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AddedHeaders {
@@ -59,6 +74,8 @@
     pub version: Option<u64>,
     /// Id of the event after which the stream continues.
     pub resume_after: Option<u64>,
+    /// Who the caller is.
+    pub identity: Identity,
 }
 
 /// Parsed head of a replica's response.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Gateway,
+    account::{Caller, Refusal},
     configuration::Route,
     connection::{Connection, Error},
     dialect::{AddedHeaders, RequestHead, ResponseHead},
@@ -38,6 +39,10 @@
     pub head: RequestHead,
     /// Route that the request matched.
     pub route: Arc<Route>,
+    /// Who sent it, as far as the configuration tells callers apart.
+    pub caller: Caller,
+    /// Rank among all requests; zero is the most urgent.
+    pub rank: u8,
     /// Service that was drawn from the route's targets.
     pub service: String,
     /// HTTP method.
@@ -58,6 +63,21 @@
     pub deadline: Instant,
 }
 
+impl Job {
+    /// Name of the caller's account; empty without one.
+    pub fn account_name(&self) -> String {
+        let account = self.caller.account();
+        account.map_or_else(String::new, |account| account.name.to_string())
+    }
+
+    /// What the request uses of its account's quota, in the quota's units; zero without a quota.
+    pub fn cost(&self) -> u64 {
+        let account = self.caller.account();
+        let quota = account.and_then(|account| account.quota);
+        quota.map_or(0, |quota| quota.unit.cost(self.head.tokens))
+    }
+}
+
 /// What the rest of an answer must continue.
 #[derive(Clone, Debug, Default)]
 pub struct Resumption {
@@ -244,7 +264,10 @@
             return Err(FailedAttempt {
                 verdict: error.verdict(),
                 arrived: error.verdict() != Verdict::NotRun,
-                withdrawn: matches!(error, Error::Quarantined | Error::Unconfirmed),
+                withdrawn: matches!(
+                    error,
+                    Error::Quarantined | Error::Unconfirmed | Error::Unauthorized
+                ),
                 needs_list: matches!(error, Error::Unconfirmed),
                 reason: error.to_string(),
             });
@@ -283,7 +306,7 @@
         // What breaks at a host that is cut off says nothing about the upstream.
         Error::Unsent | Error::Broken { .. } if is_cut_off => {}
         Error::Unsent | Error::Broken { .. } => view.record_failure(upstream, now),
-        Error::Withheld | Error::Quarantined | Error::Unconfirmed => {}
+        Error::Withheld | Error::Quarantined | Error::Unconfirmed | Error::Unauthorized => {}
     }
 }
 
@@ -307,8 +330,18 @@
     let mut last_error = Error::Unsent;
     for _ in 0..MAX_CONNECTION_ATTEMPTS {
         let mut connection = gateway.connect(upstream).await?;
-        let request = build_request(gateway, job, upstream, version, resume_after)?;
         // Decided after connecting, which takes time.
+        let caller = current_caller(gateway, job, resume_after);
+        let caller = caller.map_err(|_| Error::Unauthorized)?;
+        let added = AddedHeaders {
+            time_left: job.deadline.saturating_duration_since(Instant::now()),
+            instance: upstream.instance.clone(),
+            priority: job.head.model.is_some().then_some(job.rank),
+            version,
+            resume_after: resume_after.or(job.head.resume_after),
+            identity: caller.identity(),
+        };
+        let request = build_request(gateway, job, &added)?;
         if let Err(access) = gateway.admit(&upstream.name) {
             gateway.log_withheld(&job.head.id, &upstream.name, access);
             return Err(Error::Withheld);
@@ -356,20 +389,29 @@
     !connection.is_detour() && job.route.may_repeat()
 }
 
-fn build_request(
+/// Who sent a request, by the configuration in force. A key may have been taken away, or given to another
+/// account, since the request came; a stream that runs goes on all the same.
+fn current_caller(
     gateway: &Gateway,
     job: &Job,
-    upstream: &Upstream,
-    version: Option<u64>,
     resume_after: Option<u64>,
+) -> Result<Caller, Refusal> {
+    let newest = gateway.view().configuration.clone();
+    match newest.filter(|_| resume_after.is_none()) {
+        // Credentials that named an account go to no upstream.
+        Some(newest) if newest.accounts.is_empty() => Ok(job.caller.clone()),
+        Some(newest) => newest
+            .accounts
+            .identify(job.head.key, job.route.allows_anonymous),
+        None => Ok(job.caller.clone()),
+    }
+}
+
+fn build_request(
+    gateway: &Gateway,
+    job: &Job,
+    added: &AddedHeaders,
 ) -> Result<Request<super::connection::Body>, Error> {
-    let added = AddedHeaders {
-        time_left: job.deadline.saturating_duration_since(Instant::now()),
-        instance: upstream.instance.clone(),
-        priority: job.head.model.is_some().then_some(job.route.priority),
-        version,
-        resume_after: resume_after.or(job.head.resume_after),
-    };
     let mut request = Request::builder()
         .method(job.method.clone())
         .uri(&job.path)
@@ -377,7 +419,7 @@
         .map_err(|error| Error::Connect {
             reason: error.to_string(),
         })?;
-    *request.headers_mut() = gateway.dialect.request_headers(&job.headers, &added);
+    *request.headers_mut() = gateway.dialect.request_headers(&job.headers, added);
     Ok(request)
 }
 
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -8,13 +8,14 @@
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
     http::request,
 };
 use tokio::time::{Duration, Instant, timeout, timeout_at};
 
 use super::{
     Gateway,
+    account::{self, Caller},
     body_buffer::Buffer,
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{
@@ -103,6 +104,10 @@
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(Body::full(Bytes::new()));
         *response.status_mut() = self.status;
+        if self.status == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+        }
         if let Some(after) = self.retry_after {
             let text = format!("{:.3}", after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
@@ -165,6 +170,7 @@
         .dialect
         .parse_request_head(&head)
         .map_err(|malformed| Rejection::new(StatusCode::BAD_REQUEST, malformed.0))?;
+    let caller = identify(&configuration, &route, caller_head.key, is_current)?;
     let body = match read {
         Some(read) => read,
         None => read_body(&mut body, configuration.limits.max_body_bytes).await?,
@@ -174,11 +180,14 @@
         .map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let draw = rand::random_range(0..route.total_weight().max(1));
     let service = route.pick_service(draw).unwrap_or_default().to_owned();
-    let digest = request_digest(&head.method, &head.uri, &head.headers, &body);
+    let identity = caller.identity();
+    let digest = request_digest(&head.method, &head.uri, &head.headers, &identity, &body);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let job = Job {
         keys: request_keys(&caller_head, digest),
         head: caller_head,
+        rank: configuration.rank(&route, caller.account().map(Arc::as_ref)),
+        caller,
         route,
         service,
         method: head.method,
@@ -241,6 +250,40 @@
     })
 }
 
+/// Finds out who a caller is.
+///
+/// # Errors
+///
+/// The caller needs an account and has none. If the configuration is not known to be the newest, the
+/// request may be sent again later.
+fn identify(
+    configuration: &Configuration,
+    route: &Route,
+    key: Option<account::Key>,
+    is_current: bool,
+) -> Result<Caller, Rejection> {
+    let caller = configuration.accounts.identify(key, route.allows_anonymous);
+    caller.map_err(|refusal| match (refusal, is_current) {
+        (account::Refusal::Unknown(_), false) => {
+            Rejection::retry_later(format!("{refusal}, and the configuration may be outdated"))
+        }
+        _ => Rejection::new(StatusCode::UNAUTHORIZED, refusal.to_string()),
+    })
+}
+
+/// Looks a caller up again, since the configuration may have changed while the request waited.
+///
+/// # Errors
+///
+/// As [`identify`].
+fn check_caller(gateway: &Gateway, job: &Job) -> Result<(), Rejection> {
+    let is_current = gateway.heard_leader_within(ROUTES_STALE_AFTER);
+    match gateway.view().configuration.clone() {
+        Some(newest) => identify(&newest, &job.route, job.head.key, is_current).map(drop),
+        None => Ok(()),
+    }
+}
+
 async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Rejection> {
     let read = Limited::new(body, limit).collect();
     match timeout(BODY_TIMEOUT, read).await {
@@ -401,8 +444,12 @@
     resumption: &Resumption,
 ) -> Result<UpstreamResponse, Rejection> {
     loop {
+        // What runs goes on, also at another replica.
+        if resumption.after.is_none() {
+            check_caller(gateway, job).map_err(|rejection| if_not_run(rejection, trace))?;
+        }
         let selected = select_upstream(gateway, job, resumption, trace).await;
-        let selected = selected.map_err(|rejection| as_502_if_may_have_run(rejection, trace))?;
+        let selected = selected.map_err(|rejection| if_not_run(rejection, trace))?;
         trace.tried.push(selected.upstream.name.clone());
         let outcome = exchange(gateway, job, selected, resumption.after).await;
         let failed = match outcome {
@@ -426,18 +473,18 @@
             trace.tried.pop();
         }
         if failed.needs_list && !await_current_list(gateway, job).await {
-            return Err(as_502_if_may_have_run(rejection(&failed), trace));
+            return Err(if_not_run(rejection(&failed), trace));
         }
         trace.arrivals += u32::from(failed.arrived);
         trace.last_failure.clone_from(&failed.reason);
         trace.may_have_run |= failed.verdict != Verdict::NotRun;
         let repeat = may_repeat(failed.verdict, job.route.may_repeat(), false);
         if !repeat || (failed.arrived && !try_spend_retry(gateway, job, trace)) {
-            return Err(as_502_if_may_have_run(rejection(&failed), trace));
+            return Err(if_not_run(rejection(&failed), trace));
         }
         if Instant::now() + MIN_SERVICE_TIME >= job.deadline && job.route.kind == RouteKind::Stream
         {
-            return Err(as_502_if_may_have_run(rejection(&failed), trace));
+            return Err(if_not_run(rejection(&failed), trace));
         }
     }
 }
@@ -471,10 +518,14 @@
     }
 }
 
-/// Turns a 503 into a 502 if an earlier attempt may have run, since a 503 tells the caller that the
-/// request did not run.
-fn as_502_if_may_have_run(rejection: Rejection, trace: &Trace) -> Rejection {
-    if trace.may_have_run && rejection.status == StatusCode::SERVICE_UNAVAILABLE {
+/// Turns a rejection which tells the caller that the request did not run into a 502 if an earlier attempt may
+/// have run.
+fn if_not_run(rejection: Rejection, trace: &Trace) -> Rejection {
+    let implies_not_run = matches!(
+        rejection.status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::UNAUTHORIZED
+    );
+    if trace.may_have_run && implies_not_run {
         return Rejection::new(StatusCode::BAD_GATEWAY, rejection.reason);
     }
     rejection
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -472,6 +472,15 @@
     /// service is brittle.
     #[prost(bool, tag = "21")]
     pub is_bounded: bool,
+    /// Client account of the caller; empty without one.
+    #[prost(string, tag = "22")]
+    pub account: String,
+    /// What the request uses of the account's quota, in the quota's units.
+    #[prost(uint64, tag = "23")]
+    pub cost: u64,
+    /// Whether the request was counted against the quota before.
+    #[prost(bool, tag = "24")]
+    pub is_counted: bool,
 }
 
 impl Ask {
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! `choose` (selection of an upstream), `exchange` (one attempt) and `relay` (response body). The
 //! other parts:
 //!
-//! * `configuration`: routes, services and limits in force.
+//! * `configuration`: routes, services and limits in force; `account`: client accounts.
 //! * `scheduler`: assigns waiting requests to replicas on the leader; `ask` is the gateway's side.
 //! * `view`: what this gateway knows about upstreams and adapters; `background` keeps it up to date.
 //! * `hub`: the leader's side: reads the platform's upstream list, places adapters and notifies the
@@ -27,6 +27,9 @@
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
 
+pub mod account;
+#[cfg(test)]
+mod account_tests;
 pub mod answer_end;
 pub mod ask;
 pub mod background;
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -46,9 +46,13 @@
             gateway.observe_brittle(&upstream, &parsed_head);
             gateway.dialect.order_outcome(head.status)
         }
-        Err(Error::Connect { .. } | Error::Withheld | Error::Quarantined | Error::Unconfirmed) => {
-            OrderOutcome::Gone
-        }
+        Err(
+            Error::Connect { .. }
+            | Error::Withheld
+            | Error::Quarantined
+            | Error::Unconfirmed
+            | Error::Unauthorized,
+        ) => OrderOutcome::Gone,
         Err(Error::Unsent | Error::Broken { .. }) => OrderOutcome::Unknown,
     };
     let operation = operation_label(order.operation);
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -13,6 +13,7 @@
 use super::{Config, Ledger, Register, Ruling, Standing, digest::request_digest, shareable_parts};
 use crate::{
     gateway::{
+        dialect::Identity,
         limit::Limits,
         message::{Accusation, SoundKey, split_keys},
         scheduler::{self, Candidate, Decision, Job, Pauses, Scheduler},
@@ -740,7 +741,13 @@
         headers.insert("authorization", caller.parse().unwrap());
         headers.insert("x-request-id", body.len().to_string().parse().unwrap());
         let method = method.parse().unwrap();
-        request_digest(&method, &path.parse().unwrap(), &headers, body.as_bytes())
+        request_digest(
+            &method,
+            &path.parse().unwrap(),
+            &headers,
+            &Identity::Forwarded,
+            body.as_bytes(),
+        )
     };
     let one = digest("POST", "h", "/a?b=1", "ana", "body");
     assert_eq!(one, digest("POST", "h", "/a?b=1", "ana", "body"));
--- a/crates/tanagershift/src/gateway/server.rs
+++ b/crates/tanagershift/src/gateway/server.rs
@@ -179,7 +179,10 @@
 fn may_leave_body_unread(status: StatusCode) -> bool {
     matches!(
         status,
-        StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT | StatusCode::NOT_FOUND
+        StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::NOT_FOUND
+            | StatusCode::UNAUTHORIZED
     )
 }
 
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -181,6 +181,7 @@
         max_attempts: 2,
         resumable: false,
         max_event_gap: None,
+        allows_anonymous: false,
     }
 }
 
