gateway: one pace for each replica of a service whose replicas state it

The fourth figure of the load header was not read. Each host reports changed figures with its questions and tallies; the leader keeps one estimate for each replica from the figure, its age and the time between the events of its ended streams, divides the prompt rate by it, and no longer attributes the pauses of a slow replica to the rate of the service. Hosts are told the paces of the upstreams that they select themselves. Services whose replicas state no pace are served as before.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -121,6 +121,11 @@
     let (prompt, output) = job.head.tokens.unwrap_or((0, 0));
     let (digests, tokens) = part_digests(&job.head);
     let (part_ids, digest) = split_keys(&job.keys);
+    let (is_bounded, paces) = {
+        let mut view = gateway.view();
+        let is_bounded = view.shares.is_bounded(&job.service);
+        (is_bounded, view.paces.take_reports(now))
+    };
     Ask {
         request: job.head.id.clone(),
         service: job.service.clone(),
@@ -142,7 +147,8 @@
         continues: job.head.continues_stream(),
         resumes: job.head.resumes.clone().unwrap_or_default(),
         software: resumption.software.clone(),
-        is_bounded: gateway.view().shares.is_bounded(&job.service),
+        is_bounded,
+        paces,
     }
 }
 
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -231,6 +231,7 @@
                     brittle: view.shares.take_reports(Instant::now()),
                     rejections: view.take_rejections(),
                     unassigned: Some(view.unassigned_open()),
+                    paces: view.paces.take_reports(Instant::now()),
                     reach: Some(ReachReport {
                         is_cut_off: self.gateway.reach.lock().is_cut_off(),
                         is_draining: self.gateway.is_draining(),
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -72,6 +72,8 @@
     pub not_run: bool,
     /// Number of running requests, of waiting requests and of slots on the replica.
     pub load: Option<(u32, u32, u32)>,
+    /// How long work takes on the replica, in percent of the usual, if it states that.
+    pub pace: Option<Result<u32, Malformed>>,
     /// How long the replica keeps an idle connection open; a whole number of seconds.
     pub keep_alive: Option<Duration>,
     /// Identity of the replica that answers; it may not be the expected one.
--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -400,6 +400,14 @@
     if let Some((running, waiting, _)) = response.parsed_head.load {
         view.record_load(name, running, waiting, now);
     }
+    match response.parsed_head.pace {
+        Some(Ok(percent)) => {
+            let service = &response.guard.upstream().service;
+            view.paces.record_stated(service, name, percent, now);
+        }
+        Some(Err(_)) => drop(gateway.metrics.malformed_paces.inc()),
+        None => {}
+    }
     let matches_request = response.parsed_head.id.as_deref() == Some(job.head.id.as_str());
     let refuses = response.parsed_head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     // A refusal without an id may be a copy of an earlier one on the same connection.
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -189,6 +189,8 @@
     waiting_gateways: BTreeMap<Adapter, BTreeSet<id::Host>>,
     /// Changes of the placement that were not yet sent to all gateways.
     residency_changes: Vec<Residency>,
+    /// Upstreams selected by gateways whose paces were not yet sent to all gateways.
+    pace_changes: BTreeSet<id::Upstream>,
     next_notice: Instant,
     /// Earliest time at which the next gateway is sent all residencies.
     next_snapshot: Instant,
@@ -413,6 +415,7 @@
             helpers: helpers::State::new(now),
             waiting_gateways: BTreeMap::new(),
             residency_changes: Vec::new(),
+            pace_changes: BTreeSet::new(),
             next_notice: now,
             next_snapshot: now + FIRST_SNAPSHOT_DELAY,
             next_summary: now,
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -16,8 +16,8 @@
 use crate::{
     admission::Origin,
     gateway::message::{
-        self, Announcement, Counts, Document, List, Notice, ReachReport, Residency, Tally,
-        Upstream, Watch,
+        self, Announcement, Counts, Document, List, Notice, PaceReport, ReachReport, Residency,
+        Tally, Upstream, Watch,
     },
     id,
     link::Responder,
@@ -65,6 +65,7 @@
             baselines: self.baselines(),
             helpers: Vec::new(),
             brittle: self.ceilings.reports(),
+            paces: Vec::new(),
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -115,6 +116,7 @@
         self.record_evidence(&tally, now);
         self.record_limits(&tally, now);
         self.record_brittle(&tally, now);
+        self.record_paces(&tally.paces, now);
         let crashed = tally.accusations.iter().map(|one| &one.upstream);
         for replica in tally.unreachable.iter().chain(crashed) {
             self.checks.request(replica, now);
@@ -172,6 +174,22 @@
         }
     }
 
+    /// Records paces that upstreams have stated. Gateways are told those of the upstreams that they select
+    /// themselves.
+    pub(super) fn record_paces(&mut self, reports: &[PaceReport], now: Instant) {
+        for report in reports {
+            let upstreams = &self.list.upstreams;
+            let at = upstreams.binary_search_by(|one| one.name.cmp(&report.upstream));
+            let Some(upstream) = at.ok().and_then(|at| upstreams.get(at)) else {
+                continue;
+            };
+            self.scheduler.paces.apply(&upstream.service, report, now);
+            if !self.placement.replicas().contains_key(&report.upstream) {
+                self.pace_changes.insert(report.upstream.clone());
+            }
+        }
+    }
+
     /// Records upstreams that leave, and tells all gateways of those that are new.
     fn record_departures(&mut self, upstreams: &[String], now: Instant) {
         let listed = &self.list.upstreams;
@@ -347,6 +365,8 @@
     pub(super) fn broadcast_update(&mut self, now: Instant) {
         let open = self.sum_open_requests(now);
         let residencies = std::mem::take(&mut self.residency_changes);
+        let changed = std::mem::take(&mut self.pace_changes);
+        let paces = self.scheduler.paces.reports(changed.iter(), now);
         let interval = self.notice_interval();
         self.next_notice = now + interval;
         if now >= self.next_summary {
@@ -367,6 +387,7 @@
         self.broadcast(&Notice {
             residencies,
             open: Some(open),
+            paces,
             ..Notice::default()
         });
     }
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -34,6 +34,7 @@
         if ask.model.is_empty() {
             return self.add_request(ask, None, responder, now);
         }
+        self.record_paces(&ask.paces, now);
         let wanted = if ask.adapter.is_empty() {
             &ask.model
         } else {
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -100,6 +100,9 @@
     /// are.
     #[prost(message, repeated, tag = "18")]
     pub brittle: Vec<BrittleReport>,
+    /// Paces of upstreams that gateways select themselves, where they have changed.
+    #[prost(message, repeated, tag = "21")]
+    pub paces: Vec<PaceReport>,
 }
 
 /// The platform's list of upstreams.
@@ -251,6 +254,24 @@
     /// host reports.
     #[prost(message, optional, tag = "17")]
     pub unassigned: Option<Counts>,
+    /// Paces that upstreams have stated to this gateway, where they have changed.
+    #[prost(message, repeated, tag = "20")]
+    pub paces: Vec<PaceReport>,
+}
+
+/// How long work takes at an upstream, as it has stated.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct PaceReport {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Percentage of the usual time.
+    #[prost(uint32, tag = "2")]
+    pub percent: u32,
+    /// Milliseconds since the answer that stated it.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// How many requests an upstream takes from all hosts together.
@@ -384,6 +405,15 @@
     /// Number of these streams with a gap between two events above the objective of their route.
     #[prost(uint32, tag = "3")]
     pub gap_exceeded: u32,
+    /// Replica that ran the streams, if the service is uneven; empty otherwise.
+    #[prost(string, tag = "4")]
+    pub upstream: String,
+    /// Milliseconds between first and last events, summed over the streams.
+    #[prost(uint64, tag = "5")]
+    pub span_ms: u64,
+    /// Events after the first one, summed over the streams.
+    #[prost(uint32, tag = "6")]
+    pub events: u32,
 }
 
 /// Request counts of one adapter.
@@ -472,6 +502,9 @@
     /// service is brittle.
     #[prost(bool, tag = "21")]
     pub is_bounded: bool,
+    /// Paces that upstreams have stated to the gateway, where they have changed.
+    #[prost(message, repeated, tag = "26")]
+    pub paces: Vec<PaceReport>,
 }
 
 impl Ask {
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
     pub replica_wait: Histogram,
     /// Seconds from a request to the first event of its stream.
     pub first_event: Histogram,
+    /// Answers whose figure of the upstream's pace is malformed.
+    pub malformed_paces: Counter,
     /// Upstreams that announced that they leave.
     pub departures: Counter,
     /// Pauses that upstreams asked for.
@@ -124,6 +126,7 @@
             recorded_streams: Gauge::default(),
             refused_take_ups: Counter::default(),
             unconfirmed_runs: Counter::default(),
+            malformed_paces: Counter::default(),
             caller_connections: Gauge::default(),
             end_checks: Counter::default(),
             broken_ends: Counter::default(),
@@ -199,6 +202,8 @@
         let help = "Streams withheld from upstreams that may have started again unlisted";
         let unconfirmed = self.unconfirmed_runs.clone();
         registry.register("unconfirmed_runs", help, unconfirmed);
+        let help = "Answers with a malformed figure of the upstream's pace";
+        registry.register("malformed_paces", help, self.malformed_paces.clone());
         let help = "Checks of upstreams that ended an answer with its connection";
         registry.register("end_checks", help, self.end_checks.clone());
         let help = "Checks that found such an upstream gone";
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -56,6 +56,9 @@
 pub mod metrics;
 pub mod orders;
 pub mod overload;
+pub mod pace;
+#[cfg(test)]
+mod pace_tests;
 pub mod patch;
 pub mod placement;
 pub mod progress;
@@ -160,7 +163,8 @@
     budget: Mutex<RetryBudget>,
     quarantine: Mutex<Register>,
     configuration_text: Mutex<Option<(u64, Bytes)>>,
-    streams: Mutex<BTreeMap<String, message::Streams>>,
+    /// Counts of streams, by service and, if that is uneven, by replica.
+    streams: Mutex<BTreeMap<(String, id::Upstream), message::Streams>>,
 }
 
 impl Gateway {
@@ -284,13 +288,27 @@
 
     /// Counts a stream of a service that was relayed to its end. `gap_exceeded` says whether a gap
     /// between two of its events was longer than the objective of its route.
-    pub fn count_stream(&self, service: &str, gap_exceeded: bool) {
+    /// `run` is the replica that ran all of it, with the time between its first and last events.
+    pub fn count_stream(
+        &self,
+        service: &str,
+        gap_exceeded: bool,
+        run: Option<(&str, &StreamTiming)>,
+    ) {
+        let is_uneven = self.view().paces.is_uneven(service, Instant::now());
+        let run = run.filter(|_| is_uneven);
+        let upstream = run.map_or("", |(upstream, _)| upstream);
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = streams.entry(service.to_owned());
+        let entry = streams.entry((service.to_owned(), upstream.to_owned()));
         let counts = entry.or_insert_with(|| message::Streams {
             service: service.to_owned(),
+            upstream: upstream.to_owned(),
             ..message::Streams::default()
         });
+        if let Some((_, timing)) = run {
+            counts.span_ms += timing.span.as_millis() as u64;
+            counts.events += timing.events.saturating_sub(1);
+        }
         counts.ended += 1;
         counts.gap_exceeded += u32::from(gap_exceeded);
     }
--- a/crates/tanagershift/src/gateway/prompt_rate.rs
+++ b/crates/tanagershift/src/gateway/prompt_rate.rs
@@ -37,6 +37,8 @@
     tokens_per_ms: f64,
     ended: u32,
     paused: u32,
+    /// Ended streams whose pauses the pace of their replica explains.
+    explained: u32,
     late: u32,
     adapted_at: Instant,
 }
@@ -48,6 +50,7 @@
             tokens_per_ms: INITIAL_TOKENS_PER_MS,
             ended: 0,
             paused: 0,
+            explained: 0,
             late: 0,
             adapted_at: now,
         }
@@ -58,6 +61,14 @@
         self.tokens_per_ms
     }
 
+    /// Rate of a replica whose work takes `pace` times the usual.
+    pub fn at_pace(&self, pace: f64) -> Self {
+        Self {
+            tokens_per_ms: self.tokens_per_ms / pace,
+            ..*self
+        }
+    }
+
     /// Prompt tokens that a replica may have outstanding.
     pub fn burst_tokens(&self) -> f64 {
         self.tokens_per_ms * BURST_TIME.as_secs_f64() * 1000.0
@@ -69,6 +80,11 @@
         self.paused += paused;
     }
 
+    /// Counts ended streams of a replica that was slow, so that its pauses say nothing about the rate.
+    pub fn count_explained(&mut self, ended: u32) {
+        self.explained += ended;
+    }
+
     /// Counts a request that was late or refused because all replicas that could serve it were
     /// busy.
     pub fn count_late_request(&mut self) {
@@ -81,8 +97,11 @@
         if now < self.adapted_at + ADAPT_INTERVAL || self.ended + self.late < MIN_SAMPLES {
             return;
         }
-        let tolerated = f64::from(self.ended + self.late) * TOLERATED_SHARE;
-        let (paused, late) = (f64::from(self.paused), f64::from(self.late));
+        let all = f64::from(self.ended + self.explained);
+        let tolerated = (all + f64::from(self.late)) * TOLERATED_SHARE;
+        // The streams of replicas that were not slow stand for all.
+        let paused = f64::from(self.paused) * all / f64::from(self.ended.max(1));
+        let late = f64::from(self.late);
         let factor = match paused > late {
             true if paused > tolerated => DECREASE_FACTOR,
             false if late > tolerated => INCREASE_FACTOR,
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -90,6 +90,10 @@
     pub first_event: Option<Duration>,
     /// Longest gap between two events.
     pub longest_gap: Duration,
+    /// Number of frames with events.
+    pub events: u32,
+    /// Time between the first event and the last.
+    pub span: Duration,
     last_event_at: Option<Instant>,
 }
 
@@ -289,8 +293,10 @@
             Some(silence) if !self.is_sound => silence.as_mut().reset(now + SILENCE_LIMIT),
             _ => self.silence = None,
         }
+        self.timing.events += 1;
         if let Some(last_event_at) = self.timing.last_event_at.replace(now) {
             let gap = now.duration_since(last_event_at);
+            self.timing.span += gap;
             self.timing.longest_gap = self.timing.longest_gap.max(gap);
             return;
         }
@@ -458,7 +464,12 @@
         if self.outcome == "complete" {
             let max_gap = self.job.route.max_event_gap;
             let gap_exceeded = max_gap.is_some_and(|max| self.timing.longest_gap > max);
-            self.gateway.count_stream(&self.job.service, gap_exceeded);
+            let run = match self.trace.tried.as_slice() {
+                [upstream] => Some((upstream.as_str(), &self.timing)),
+                _ => None,
+            };
+            self.gateway
+                .count_stream(&self.job.service, gap_exceeded, run);
         }
         let verdict = match self.outcome {
             "complete" => Verdict::Ran,
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -19,6 +19,7 @@
     limit::Limits,
     message::Streams,
     overload::Overloads,
+    pace::{Estimate, Paces},
     prompt_rate::PromptRate,
     quarantine::{Ledger, Ruling},
 };
@@ -73,6 +74,8 @@
     /// Prompt tokens that were not yet processed at `updated_at`.
     backlog: f64,
     updated_at: Instant,
+    /// Requests that the replica runs concurrently.
+    slots: u32,
     /// Tokens reserved for each running job.
     jobs: BTreeMap<JobNumber, u32>,
     /// When a prompt part was last assigned to the replica, by digest.
@@ -84,6 +87,7 @@
         Self {
             backlog: 0.0,
             updated_at: now,
+            slots: 0,
             jobs: BTreeMap::new(),
             parts: HashMap::new(),
         }
@@ -94,6 +98,11 @@
         (self.backlog - passed_ms * tokens_per_ms).max(0.0)
     }
 
+    /// Share of the replica's slots that run jobs.
+    fn fill(&self) -> f64 {
+        self.jobs.len() as f64 / f64::from(self.slots.max(1))
+    }
+
     /// Tokens of a job's prompt after the longest prefix that the replica has cached.
     fn uncached_tokens(&self, job: &Job, lifetime: Duration, now: Instant) -> u32 {
         let cached = |part: &&PromptPart| {
@@ -132,6 +141,8 @@
     prompt_rates: BTreeMap<String, PromptRate>,
     running: BTreeMap<JobNumber, RunningJob>,
     overloads: Overloads,
+    /// Paces of the replicas of uneven services.
+    pub paces: Paces,
 }
 
 /// A job that was assigned to a replica and has not ended.
@@ -162,13 +173,26 @@
             prompt_rates: BTreeMap::new(),
             running: BTreeMap::new(),
             overloads: Overloads::default(),
+            paces: Paces::default(),
         }
     }
 
     /// Counts streams of a service that have ended.
     pub fn count_streams(&mut self, streams: &Streams, now: Instant) {
-        let prompt_rate = self.prompt_rate(&streams.service, now);
-        prompt_rate.count_streams(streams.ended, streams.gap_exceeded);
+        let (service, replica) = (&streams.service, &streams.upstream);
+        if streams.events > 0 && !replica.is_empty() {
+            let event_ms = streams.span_ms as f64 / f64::from(streams.events);
+            let load = self.loads.get(replica);
+            let fill = load.map_or(0.0, ReplicaLoad::fill);
+            self.paces
+                .record_shown(service, replica, event_ms, fill, now);
+        }
+        let was_slow = self.paces.was_slow(replica, now);
+        let prompt_rate = self.prompt_rate(service, now);
+        match was_slow {
+            true => prompt_rate.count_explained(streams.ended),
+            false => prompt_rate.count_streams(streams.ended, streams.gap_exceeded),
+        }
     }
 
     fn prompt_rate(&mut self, service: &str, now: Instant) -> &mut PromptRate {
@@ -270,6 +294,7 @@
     /// Drops the loads of all replicas that are no longer listed.
     pub fn retain_replicas(&mut self, listed: impl Fn(&str) -> bool) {
         self.loads.retain(|name, _| listed(name));
+        self.paces.retain(listed);
     }
 
     /// Assigns or refuses all jobs for which this is possible now, the most urgent ones first.
@@ -354,7 +379,7 @@
                     self.prompt_rate(&service, now).count_late_request();
                 }
                 limits.spend(&chosen.name, now);
-                self.assign(number, &chosen.name, now);
+                self.assign(number, chosen, now);
                 decisions.push(Decision::Send {
                     number,
                     replica: chosen.name.clone(),
@@ -500,6 +525,8 @@
         if candidate.token_capacity > 0 && needed > capacity && !load.jobs.is_empty() {
             return None;
         }
+        let pace = self.pace(job, &candidate.name, now);
+        let prompt_rate = prompt_rate.at_pace(pace.now);
         let uncached = f64::from(load.uncached_tokens(job, self.config.prefix_lifetime, now));
         let backlog = load.backlog_at(prompt_rate.tokens_per_ms(), now);
         if backlog > 0.0 && backlog + uncached > prompt_rate.burst_tokens() {
@@ -510,18 +537,27 @@
         } else {
             CROSS_ZONE_COST_MS
         };
-        let fill_cost = f64::from(open) / slots * FULL_REPLICA_COST_MS;
+        let fill_cost = f64::from(open) / slots * FULL_REPLICA_COST_MS * pace.lasting;
         Some((backlog + uncached) / prompt_rate.tokens_per_ms() + zone_cost + fill_cost)
     }
 
-    fn assign(&mut self, number: JobNumber, replica: &str, now: Instant) {
+    /// Expected pace of a replica.
+    fn pace(&self, job: &Job, replica: &str, now: Instant) -> Estimate {
+        match self.paces.is_uneven(&job.service, now) {
+            true => self.paces.estimate(replica, now),
+            false => Estimate::USUAL,
+        }
+    }
+
+    fn assign(&mut self, number: JobNumber, candidate: &Candidate, now: Instant) {
+        let replica = candidate.name.as_str();
         let Some(job) = self.remove(number) else {
             return;
         };
-        let (tokens_per_ms, lifetime) = (
-            self.prompt_rate(&job.service, now).tokens_per_ms(),
-            self.config.prefix_lifetime,
-        );
+        let lifetime = self.config.prefix_lifetime;
+        let pace = self.pace(&job, replica, now);
+        let prompt_rate = self.prompt_rate(&job.service, now);
+        let tokens_per_ms = prompt_rate.at_pace(pace.now).tokens_per_ms();
         let load = self
             .loads
             .entry(replica.to_owned())
@@ -529,6 +565,7 @@
         let uncached = f64::from(load.uncached_tokens(&job, lifetime, now));
         load.backlog = load.backlog_at(tokens_per_ms, now) + uncached;
         load.updated_at = now;
+        load.slots = candidate.slots;
         load.jobs
             .insert(number, job.prompt_tokens + job.max_output_tokens);
         load.record_parts(&job, lifetime, now);
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -17,6 +17,7 @@
         Baseline, Counts, Demand, List, Notice, Pause, Rejections, Residency, ServiceDemand,
         Upstream,
     },
+    pace::Paces,
     placement::FIRST_VERSION,
 };
 use crate::{admission::Admission, clock, id};
@@ -123,6 +124,8 @@
     pub limits: Permits,
     /// Brittle upstreams, and this gateway's turns at them.
     pub shares: Shares,
+    /// Paces of upstreams of uneven services.
+    pub paces: Paces,
     /// Number of the watch of a leader; requests that were assigned in an earlier one are unknown to the
     /// leader.
     watch: u64,
@@ -198,6 +201,11 @@
         if let Some(open) = &notice.open {
             self.apply_open(open);
         }
+        for report in &notice.paces {
+            if let Some(known) = self.upstreams.get(&report.upstream) {
+                self.paces.apply(&known.upstream.service, report, now);
+            }
+        }
     }
 
     /// Begins to watch a leader, which knows none of the open requests.
@@ -255,6 +263,7 @@
         self.admission.retain_listed(&names, now);
         self.limits.retain_listed(&names);
         self.shares.retain_listed(&names, now);
+        self.paces.retain(|name| names.contains(name));
     }
 
     fn apply_residency(&mut self, residency: &Residency) {
