placement: permits follow the loads that are known to be in progress

The limit on concurrent loads moved by half a load at a time, judged by load times of which some began at an unknown time, and a new leader started from a constant.

Change: `permit` counts what is known of each load. An unanswered order keeps its adapter slot and no permit; since an order names the number of accepted orders that it expects, all late ones together begin at most one load on each replica. Plans on replicas that answer nothing are made elsewhere, and plans whose callers have left are dropped. `store` finds the knee of the weight store by Little's law from both sides, with probes at lower concurrency, and leaders tell each other what they found (Notice and Watch, tag 23). A gateway without a leader rejects a request for an adapter that no replica has at once, with the time until orders can come again, unless its caller stays that long.

--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -103,6 +103,10 @@
     BRITTLE_NAMED = 515, Info;
     /// An upstream says no more that it is brittle.
     BRITTLE_ENDED = 516, Info;
+    /// A leader continues from what an earlier one found out about the weight store.
+    STORE_RESUMED = 530, Info;
+    /// A leader may send orders to replicas again.
+    ORDERS_RESUMED = 531, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -23,7 +23,7 @@
 /// Interval at which a waiting request checks that notices from the leader still arrive.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a notice after which gateways decide for themselves.
-const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(450);
+pub const LEADER_SILENCE_LIMIT: Duration = Duration::from_millis(450);
 /// Multiple of the objective after which a request that has not begun is refused. Callers abandon a
 /// stream after four objectives without an event. Service that begins before that is still useful
 /// to them, so the refusal comes well after the objective.
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -71,6 +71,7 @@
                 version,
                 address: self.address.clone(),
                 zone: self.gateway.zone.clone(),
+                store: self.gateway.view().store,
             });
             let opened = self
                 .gateway
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -86,6 +86,7 @@
             config.version_bound,
         );
         gateway.pool.source = config.upstream_source;
+        gateway.order_silence = config.lease;
         let gateway = Arc::new(gateway);
         let voter = start_voter(&settings, &pool, &leader, seeds)?;
         let hub = voter.as_ref().map(|voter| {
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -8,6 +8,7 @@
 //! * `helpers`: tells gateways through which hosts they can reach upstreams, and hands over leadership
 //!   where this host cannot.
 //! * `queue`: queues gateways' requests for a replica and answers them.
+//! * `loads`: keeps loads going over changes of the leader.
 //! * `limits`: spreads upstreams' limits, and hands out permits.
 //! * `notices`: messages to and from gateways.
 //! * `reachability`: finds replicas that are gone.
@@ -20,6 +21,7 @@
 mod gateways;
 mod helpers;
 mod limits;
+mod loads;
 mod notices;
 mod quarantine;
 mod queue;
@@ -143,6 +145,8 @@
     orders_from: Instant,
     /// Whether the group has recorded that this host sends the orders.
     is_holder: bool,
+    /// Time without orders.
+    silence: loads::Silence,
     placement: Placement,
     scheduler: Scheduler,
     requests: BTreeMap<JobNumber, ReplicaRequest>,
@@ -378,10 +382,12 @@
             self.config.clone(),
             self.inputs.clone(),
         ));
-        self.leader_state = Some(LeaderState {
+        let store = self.gateway.view().store;
+        let mut state = LeaderState {
             term,
             orders_from,
             is_holder: status.holder == self.gateway.host,
+            silence: loads::Silence::Since(now.checked_sub(status.order_age).unwrap_or(now)),
             placement: Placement::new(placement::Config {
                 version_grace: self.config.version_bound.mul_f64(OLD_VERSION_SHARE),
                 ..placement::Config::default()
@@ -420,7 +426,9 @@
             announced: Arc::default(),
             voters: Vec::new(),
             list_reader,
-        });
+        };
+        state.resume_store(store);
+        self.leader_state = Some(state);
     }
 
     fn handle_input(&mut self, input: Input) {
@@ -480,6 +488,7 @@
         state.decide(now);
         state.record_software(&self.gateway, &self.inputs, now);
         let may_order = state.may_order(&self.voter_status, now);
+        state.record_silence(may_order, &self.gateway.metrics, now);
         for action in state.placement.tick(may_order, now) {
             if let Action::Order { replica, .. } = &action {
                 state.limits.spend(replica, now);
@@ -496,7 +505,7 @@
         state.notify_waiting_gateways(&changes);
         state.residency_changes.extend(changes);
         if now >= state.next_notice {
-            state.broadcast_update(now);
+            state.broadcast_update(&self.gateway.metrics, now);
         }
         state.send_snapshots(now);
         let ended = Instant::now();
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -15,9 +15,12 @@
 use super::{GatewayState, LeaderState, Watcher, configuration_history::ConfigurationHistory};
 use crate::{
     admission::Origin,
-    gateway::message::{
-        self, Announcement, Counts, Document, List, Notice, ReachReport, Residency, Tally,
-        Upstream, Watch,
+    gateway::{
+        message::{
+            self, Announcement, Counts, Document, List, Notice, ReachReport, Residency, Tally,
+            Upstream, Watch,
+        },
+        metrics::Metrics,
     },
     id,
     link::Responder,
@@ -65,7 +68,9 @@
             baselines: self.baselines(),
             helpers: Vec::new(),
             brittle: self.ceilings.reports(),
+            store: self.store_report(),
         };
+        self.resume_store(watch.store);
         log::info!(
             "event=hub.watch host={} session={:016x}",
             watch.host,
@@ -344,7 +349,7 @@
         }
     }
 
-    pub(super) fn broadcast_update(&mut self, now: Instant) {
+    pub(super) fn broadcast_update(&mut self, metrics: &Metrics, now: Instant) {
         let open = self.sum_open_requests(now);
         let residencies = std::mem::take(&mut self.residency_changes);
         let interval = self.notice_interval();
@@ -353,6 +358,8 @@
             self.next_summary = now + SUMMARY_INTERVAL;
             self.ledger.expire(now);
             self.ceilings.expire(now);
+            let summary = self.placement.summary(now);
+            metrics.set_loads(&summary);
             log::info!(
                 "event=hub.summary term={} hosts={} waiting={} open={} streams={} paces={:.1?} {:?}",
                 self.term,
@@ -361,12 +368,13 @@
                 self.requests.len(),
                 self.recorded_streams(),
                 self.scheduler.rates(),
-                self.placement.summary()
+                summary
             );
         }
         self.broadcast(&Notice {
             residencies,
             open: Some(open),
+            store: self.store_report(),
             ..Notice::default()
         });
     }
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -8,6 +8,7 @@
 pub use super::concurrency::message::{BrittleReport, Rejections};
 pub use super::detour_message::{Helper, ReachReport, Tunnel, TunnelOutcome};
 use super::patch::Patch;
+pub use super::placement::message::StoreReport;
 pub use crate::voter::{
     command::{Announcement, Document, Key, Mark},
     software::Baseline,
@@ -33,6 +34,9 @@
     /// Availability zone of the host.
     #[prost(string, tag = "5")]
     pub zone: String,
+    /// What the last leader has told the host about the weight store.
+    #[prost(message, optional, tag = "23")]
+    pub store: Option<StoreReport>,
 }
 
 /// Changes since the previous notice. Absent fields are unchanged.
@@ -100,6 +104,9 @@
     /// are.
     #[prost(message, repeated, tag = "18")]
     pub brittle: Vec<BrittleReport>,
+    /// What the leader has found out about the weight store; absent if unknown.
+    #[prost(message, optional, tag = "23")]
+    pub store: Option<StoreReport>,
 }
 
 /// The platform's list of upstreams.
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of one gateway, in the OpenMetrics text format.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, atomic::AtomicU64};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -8,6 +8,7 @@
     registry::{Registry, Unit},
 };
 
+use super::placement::Summary;
 use crate::metrics::SECONDS;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -30,6 +31,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct LoadLabels {
+    state: &'static str,
+}
+
 /// All metrics of one gateway. Clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -37,6 +44,15 @@
     requests: Family<RequestLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     full_upstreams: Family<FullLabels, Counter>,
+    loads: Family<LoadLabels, Gauge>,
+    /// Limit on concurrent loads from the weight store, on the leader's host.
+    load_limit: Gauge,
+    /// Requests that wait for an adapter that no replica has, on the leader's host.
+    load_waiting: Gauge,
+    /// Adapters that these requests wait for.
+    awaited_adapters: Gauge,
+    /// Seconds in which no leader could send orders, counted by the next one.
+    pub order_silence: Counter<f64, AtomicU64>,
     /// Retries that were taken from the retry budget.
     pub retries: Counter,
     /// Seconds that a request waited until the leader assigned it a replica or, without a leader,
@@ -107,6 +123,11 @@
             requests: Family::default(),
             orders: Family::default(),
             full_upstreams: Family::default(),
+            loads: Family::default(),
+            load_limit: Gauge::default(),
+            load_waiting: Gauge::default(),
+            awaited_adapters: Gauge::default(),
+            order_silence: Counter::default(),
             retries: Counter::default(),
             replica_wait: Histogram::new(SECONDS),
             first_event: Histogram::new(SECONDS),
@@ -160,6 +181,17 @@
             "Requests that a full upstream rejected, by who had selected it",
             self.full_upstreams.clone(),
         );
+        let help = "Loads from the weight store by state";
+        registry.register("loads", help, self.loads.clone());
+        let help = "Limit on concurrent loads from the weight store";
+        registry.register("load_limit", help, self.load_limit.clone());
+        let help = "Requests that wait for an adapter that no replica has";
+        registry.register("load_waiting", help, self.load_waiting.clone());
+        let help = "Adapters that requests wait for and no replica has";
+        registry.register("awaited_adapters", help, self.awaited_adapters.clone());
+        let help = "Time in which no leader could send orders";
+        let silence = self.order_silence.clone();
+        registry.register_with_unit("order_silence", help, Unit::Seconds, silence);
         registry.register("repeats", "Attempts after the first", self.retries.clone());
         let help = "Time that a request waited for its adapter";
         registry.register_with_unit("load_stall", help, Unit::Seconds, self.replica_wait.clone());
@@ -240,6 +272,17 @@
         self.orders.get_or_create(&labels).inc();
     }
 
+    /// Sets the metrics of loads.
+    pub fn set_loads(&self, summary: &Summary) {
+        for (state, count) in summary.permits.by_state() {
+            let gauge = self.loads.get_or_create(&LoadLabels { state });
+            gauge.set(count as i64);
+        }
+        self.load_limit.set(summary.limit as i64);
+        self.load_waiting.set(summary.waiting.into());
+        self.awaited_adapters.set(summary.wanted as i64);
+    }
+
     /// Counts a request that a full upstream rejected.
     pub fn count_full_upstream(&self, selected_by: &'static str) {
         let labels = FullLabels { selected_by };
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 //! * `connect`: connects to upstreams, directly or through another host (`tunnel`, `tunnel_stream`);
 //!   `reach` decides which,
 //!   `helpers` selects the hosts.
+//! * `absence`: requests for adapters that no replica has while there is no leader.
 //! * `upstream_list`: reads the list page by page.
 //! * `answer_end`: whether answers that end with their connections are whole.
 //! * `continuation`: what may follow within an answer that broke off.
@@ -27,6 +28,7 @@
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
 
+pub mod absence;
 pub mod answer_end;
 pub mod ask;
 pub mod background;
@@ -154,6 +156,8 @@
     pub configured: watch::Sender<bool>,
     /// When the process started.
     pub started_at: Instant,
+    /// Time after an earlier leader's last order before which another one sends none.
+    pub order_silence: Duration,
     /// Bytes of responses that are held while they arrive.
     pub buffered_bytes: AtomicUsize,
     view: Mutex<View>,
@@ -193,6 +197,7 @@
             answer_until: watch::Sender::new(None),
             configured: watch::Sender::new(false),
             started_at: Instant::now(),
+            order_silence: settings::DEFAULT_ORDER_SILENCE,
             buffered_bytes: AtomicUsize::new(0),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
--- a/crates/tanagershift/src/gateway/placement/demand.rs
+++ b/crates/tanagershift/src/gateway/placement/demand.rs
@@ -70,9 +70,9 @@
         }
         let ahead = match self.load_requests.contains_key(adapter) {
             true => 0,
-            false => self.load_requests.len() + self.store_loads(),
+            false => self.load_requests.len() + self.permits(now).in_use(),
         };
-        let rounds = ahead as f64 / self.load_limit.max(1.0);
+        let rounds = ahead as f64 / self.store.limit(now).max(1) as f64;
         let until_orders = orders_from.saturating_duration_since(now);
         Some(until_orders + self.load_time.mul_f64(rounds + 1.0))
     }
@@ -87,7 +87,7 @@
                     matches!(slot.state, State::Planned | State::Loading { .. })
                 })
         };
-        if is_model(adapter) || self.load_budget() == 0 || self.replicas.values().any(loading) {
+        if is_model(adapter) || self.load_budget(now) == 0 || self.replicas.values().any(loading) {
             return;
         }
         let mut expected = self.expected_work(now);
@@ -108,7 +108,7 @@
             let slot = replica.slots.get(adapter);
             slot.is_some_and(|slot| matches!(slot.state, State::Planned | State::Loading { .. }))
         };
-        let (store_loads, limit) = (self.store_loads(), self.load_limit as usize);
+        let (store_loads, limit) = (self.permits(now).in_use(), self.store.limit(now));
         // Adapters that no replica has take precedence.
         let store_busy = match self.load_requests.is_empty() {
             true => store_loads >= limit,
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -9,12 +9,19 @@
 //! * `replica`: the adapter slots of one replica.
 //! * `plan`: decides which adapters to load and which to evict.
 //! * `orders`: chooses the next order for each replica and applies answers and reports.
+//! * `store`: finds how many concurrent loads the weight store bears.
+//! * `permit`: counts the loads from the store that are known to be in progress.
 //! * `demand`: records request counts and requests for loads, and estimates the wait for a load.
 
 mod demand;
+pub mod message;
 mod orders;
+mod permit;
+#[cfg(test)]
+mod permit_tests;
 mod plan;
 mod replica;
+mod store;
 #[cfg(test)]
 mod store_tests;
 #[cfg(test)]
@@ -28,7 +35,10 @@
 use tokio::time::Instant;
 
 use orders::{residency, schedule_report};
+pub use permit::Permits;
 pub use replica::{Adapter, PendingOrder, Replica, Slot, State, is_model, model_of};
+pub use store::Finding;
+use store::Store;
 
 use super::{
     configuration::Configuration,
@@ -106,6 +116,9 @@
 /// Time between two planning passes while no new load request arrives.
 const IDLE_PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of requests waiting for one adapter that counts as a crowd, in the log and the metrics.
+const CROWD: u32 = 5;
+
 /// An action that the caller must execute.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -154,10 +167,18 @@
     pub unloading: usize,
     /// Adapters with a load request.
     pub wanted: usize,
+    /// Requests that wait for these adapters.
+    pub waiting: u32,
+    /// Adapters that at least [`CROWD`] requests wait for.
+    pub crowded: usize,
+    /// Loads from the store by what is known of them.
+    pub permits: Permits,
     /// Current limit on concurrent loads from the store.
     pub limit: usize,
     /// Time after which a load from the store is polled for the first time, in milliseconds.
     pub load_ms: u128,
+    /// Shortest recent time of a load from the store, in milliseconds; zero if there was none.
+    pub shortest_ms: u128,
 }
 
 /// A pending request to load an adapter that no replica has.
@@ -197,10 +218,8 @@
     /// Time after which about half of the loads from the store have ended. Loads are polled for the
     /// first time after it.
     load_time: Duration,
-    /// Shortest observed duration of a load from the store.
-    best_load_time: Option<Duration>,
     /// Limit on concurrent loads from the store, over all replicas.
-    load_limit: f64,
+    store: Store,
     /// When the next base model may be loaded from the store.
     next_model_load: Option<Instant>,
     /// When the next planning pass is due.
@@ -214,8 +233,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             load_time: config.initial_load_time,
-            best_load_time: None,
-            load_limit: config.initial_load_limit as f64,
+            store: Store::new(config.initial_load_limit, config.min_load_limit),
             config,
             replicas: BTreeMap::new(),
             index: HashMap::new(),
@@ -283,7 +301,7 @@
         }
         if self.listed.is_empty() {
             let fleet_limit = self.replicas.len() as f64 * INITIAL_LOADS_PER_REPLICA;
-            self.load_limit = self.load_limit.max(fleet_limit);
+            self.store.raise(fleet_limit);
         }
         self.listed = upstreams.to_vec();
         self.update_capacities();
@@ -428,10 +446,18 @@
     }
 
     /// Counts the adapter slots of all replicas by state.
-    pub fn summary(&self) -> Summary {
+    pub fn summary(&self, now: Instant) -> Summary {
+        let coming = self.replica_counts(now);
+        let wanted = self.load_requests.iter();
+        let wanted = wanted.filter(|(adapter, _)| !coming.contains_key(*adapter));
+        let waiting: Vec<u32> = wanted.map(|(_, request)| request.waiting).collect();
         let mut summary = Summary {
-            wanted: self.load_requests.len(),
-            limit: self.load_limit as usize,
+            wanted: waiting.len(),
+            waiting: waiting.iter().sum(),
+            crowded: waiting.iter().filter(|one| **one >= CROWD).count(),
+            limit: self.store.limit(now),
+            permits: self.permits(now),
+            shortest_ms: self.store.shortest().map_or(0, |time| time.as_millis()),
             load_ms: self.load_time.as_millis(),
             ..Summary::default()
         };
@@ -484,6 +510,7 @@
             self.last_planned_at = Some(now);
             self.load_requests
                 .retain(|_, request| now < request.last_requested + LOAD_REQUEST_TTL);
+            self.drop_stale_plans(now);
             self.plan_models(now);
             let mut replica_counts = self.replica_counts(now);
             self.plan_load_requests(&mut replica_counts, now);
@@ -492,7 +519,8 @@
             self.retire_least_requested(&replica_counts, now);
         }
         let mut actions = Vec::new();
-        let mut store_loads = self.store_loads();
+        let mut store_loads = self.permits(now).in_use();
+        self.store.observe(store_loads, now);
         let due = |replica: &&Replica| replica.needs_attention(now);
         let due = self.replicas.values().filter(due);
         let names: Vec<_> = due.map(|replica| replica.upstream.name.clone()).collect();
@@ -502,14 +530,6 @@
         actions
     }
 
-    /// Loads in progress from the store. Loads from a replica's own memory don't count.
-    fn store_loads(&self) -> usize {
-        let from_store =
-            |slot: &Slot| matches!(slot.state, State::Loading { .. }) && !slot.recently_held;
-        let slots = self.replicas.values().flat_map(Replica::adapters);
-        slots.filter(|(_, slot)| from_store(slot)).count()
-    }
-
     /// Newest announced version of an adapter; `FIRST_VERSION` if none has been announced.
     fn newest(&self, adapter: &str) -> u64 {
         let announced = self.announced.get(adapter);
--- a/crates/tanagershift/src/gateway/placement/orders.rs
+++ b/crates/tanagershift/src/gateway/placement/orders.rs
@@ -5,18 +5,14 @@
 use tokio::time::Instant;
 
 use super::{
-    Action, Adapter, Config, FIRST_VERSION, PendingOrder, Placement, Replica, Slot, State, is_model,
+    Action, Adapter, Config, FIRST_VERSION, PendingOrder, Placement, Replica, Slot, State,
+    is_model, store::Load,
 };
 use crate::gateway::{
     dialect::{Operation, OrderOutcome, Report},
     message::Residency,
 };
 
-/// Ratio of a load's duration to the shortest observed one above which the store counts as
-/// congested.
-const CONGESTED_LOAD_TIME_RATIO: f64 = 1.2;
-/// Step by which the limit on concurrent loads changes after a load.
-const LOAD_LIMIT_STEP: f64 = 0.5;
 /// Time after which a load of a base model is polled for the first time.
 const MODEL_FIRST_CHECK: Duration = Duration::from_millis(500);
 /// Fraction of the estimated load time, as a divisor, by which the estimate falls when a load has
@@ -58,12 +54,8 @@
         if !may_order {
             return None;
         }
-        let (operation, adapter) = next_order(
-            replica,
-            config,
-            *store_loads < self.load_limit as usize,
-            now,
-        )?;
+        let store_available = *store_loads < self.store.limit(now);
+        let (operation, adapter) = next_order(replica, config, store_available, now)?;
         let slot = replica.slots.get(&adapter)?;
         let planned = slot.state == State::Planned;
         if planned && is_model(&adapter) {
@@ -84,6 +76,7 @@
             number,
             operation,
             adapter: adapter.clone(),
+            expect,
             sent_at: now,
         });
         Some(Action::Order {
@@ -111,6 +104,11 @@
         let Some(pending) = replica.pending.take_if(|pending| pending.number == number) else {
             return;
         };
+        match outcome {
+            OrderOutcome::Unknown => replica.record_silence(&pending, now),
+            OrderOutcome::Fenced => {}
+            _ => replica.unanswered_orders = 0,
+        }
         match outcome {
             OrderOutcome::Accepted | OrderOutcome::Holds => {
                 self.apply_outcome(name, &pending, outcome, now)
@@ -166,8 +164,14 @@
                     self.update_capacities();
                 } else if let State::Loading { min_duration, .. } = slot.state
                     && !slot.recently_held
+                    && let Some(started_at) = slot.started_at
                 {
-                    self.record_load_time(min_duration, now.duration_since(slot.since));
+                    let load = Load {
+                        started_at,
+                        min_duration,
+                        max_duration: now.duration_since(started_at),
+                    };
+                    self.record_load(load, now);
                 }
             }
             (Operation::Load, _) if first_answer => {
@@ -175,17 +179,23 @@
                     (true, _) => MODEL_FIRST_CHECK,
                     // A load from the replica's own memory takes much less time.
                     (false, true) => self.load_time / 10,
-                    (false, false) => self.load_time,
+                    (false, false) => self.store.first_poll(self.load_time, now),
                 };
                 let state = State::Loading {
                     check_at: now + wait,
                     min_duration: Duration::ZERO,
                 };
                 replica.set_state(&pending.adapter, state, now);
+                if let Some(slot) = replica.slots.get_mut(&pending.adapter) {
+                    // An earlier order that was not answered may have begun the load.
+                    let is_first = slot.unanswered.take().is_none();
+                    slot.started_at = is_first.then_some(pending.sent_at);
+                }
             }
             (Operation::Load, _) => {
                 if let Some(slot) = replica.slots.get_mut(&pending.adapter) {
-                    let min_duration = pending.sent_at.saturating_duration_since(slot.since);
+                    let started_at = slot.started_at.unwrap_or(slot.since);
+                    let min_duration = pending.sent_at.saturating_duration_since(started_at);
                     slot.state = State::Loading {
                         check_at,
                         min_duration,
@@ -205,33 +215,22 @@
     }
 
     /// Adjusts the time of the first poll of a load, so that about half of the loads have ended by
-    /// then, and the limit on concurrent loads, so that the store is used without being congested.
-    ///
-    /// `min_duration` is the age of the load when the replica last reported it as in progress, or
-    /// zero; `max_duration` is its age when its end was noticed. Only `min_duration` indicates a
-    /// slow store, because a busy leader often notices the end of a load late.
-    pub(super) fn record_load_time(&mut self, min_duration: Duration, max_duration: Duration) {
-        if min_duration.is_zero() {
+    /// then, and the limit on concurrent loads.
+    pub(super) fn record_load(&mut self, load: Load, now: Instant) {
+        let is_late = load.max_duration > self.load_time + self.config.check_interval * 2;
+        if load.min_duration.is_zero() {
             let floor = self.config.check_interval * MIN_LOAD_TIME_CHECKS;
-            self.load_time =
-                (self.load_time - self.load_time / LOAD_TIME_DECREASE_DIVISOR).max(floor);
+            let decrease = match is_late {
+                // The poll itself came late.
+                true => Duration::ZERO,
+                false => self.load_time / LOAD_TIME_DECREASE_DIVISOR,
+            };
+            self.load_time = (self.load_time - decrease).max(floor);
         } else {
-            // Only loads still in progress at the first poll count towards the shortest duration.
-            // Others may have come from the replica's own memory rather than from the store.
             self.load_time += self.config.check_interval / LOAD_TIME_INCREASE_DIVISOR;
-            let best = self.best_load_time.unwrap_or(max_duration);
-            self.best_load_time = Some(best.min(max_duration));
-        }
-        let floor = self.config.min_load_limit as f64;
-        let congested = self
-            .best_load_time
-            .map(|best| best.mul_f64(CONGESTED_LOAD_TIME_RATIO));
-        let limit_reached = self.store_loads() + 2 >= self.load_limit as usize;
-        if congested.is_some_and(|congested| min_duration > congested) {
-            self.load_limit = (self.load_limit - LOAD_LIMIT_STEP).max(floor);
-        } else if limit_reached && !self.load_requests.is_empty() {
-            self.load_limit += LOAD_LIMIT_STEP;
         }
+        let is_wanted = !self.load_requests.is_empty();
+        self.store.record(load, is_wanted, now);
     }
 
     /// Applies a report of a replica. If `report` is `None`, another one is requested after
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -18,6 +18,10 @@
 const DEFAULT_MODEL_LOADS_PER_SECOND: f64 = 1.0;
 /// Assumed mean run time of a request until enough requests have been observed.
 const INITIAL_RUN_TIME_SECONDS: f64 = 2.0;
+/// Penalty for each load that a replica already has before it, as a share of its slots.
+const LOADING_PENALTY: f64 = 0.05;
+/// Penalty of a replica where a further load would have to wait for the earlier ones.
+const QUEUE_PENALTY: f64 = 1.0;
 
 impl Placement {
     /// For each adapter, the number of replicas on which its newest version is loaded, loading or
@@ -31,7 +35,8 @@
         {
             for (adapter, slot) in &replica.slots {
                 let staying = match slot.state {
-                    State::Planned | State::Loading { .. } | State::Ready => true,
+                    State::Planned => !replica.is_stuck(),
+                    State::Loading { .. } | State::Ready => true,
                     State::Retiring { .. } | State::Unloading { .. } => false,
                 };
                 if !staying || slot.version < self.newest(adapter) {
@@ -106,13 +111,10 @@
     ///
     /// Planning more would take slots from loaded adapters for requests that time out before their
     /// load begins.
-    pub(super) fn load_budget(&self) -> usize {
-        let planned = |slot: &Slot| slot.state == State::Planned && !slot.recently_held;
-        let usable = self.replicas.values().filter(|one| one.is_usable());
-        let slots = usable.flat_map(Replica::adapters);
-        let planned = slots.filter(|(_, slot)| planned(slot)).count();
-        let limit = self.load_limit as usize;
-        (limit + limit / 4).saturating_sub(self.store_loads() + planned)
+    pub(super) fn load_budget(&self, now: Instant) -> usize {
+        let permits = self.permits(now);
+        let limit = self.store.limit(now);
+        (limit + limit / 4).saturating_sub(permits.in_use() + permits.planned)
     }
 
     /// Plans the requested loads: the adapters with the most waiting requests first, then those
@@ -139,7 +141,7 @@
         }
         requested.sort();
         let mut expected = self.expected_work(now);
-        let budget = self.load_budget();
+        let budget = self.load_budget(now);
         for (_, _, adapter) in requested.into_iter().take(budget) {
             if self.plan_load(&adapter, &mut expected, now) {
                 *replica_counts.entry(adapter).or_default() += 1;
@@ -156,7 +158,7 @@
         replica_counts: &HashMap<Adapter, usize>,
         now: Instant,
     ) {
-        let budget = self.load_budget();
+        let budget = self.load_budget(now);
         if budget == 0 || !self.load_requests.is_empty() {
             return;
         }
@@ -229,23 +231,30 @@
         now: Instant,
     ) -> bool {
         let model = model_of(adapter);
+        let max_loads = self.config.max_loads_per_replica;
         let rank = |replica: &Replica| {
             let work = expected.get(&replica.upstream.name).copied();
             let slots = f64::from(replica.upstream.slots.max(1));
             let open = f64::from(replica.open_requests) / slots;
-            let loading_penalty = replica.loading_count() as f64 * 0.05;
+            let coming = replica.coming_count();
+            let loading_penalty = coming as f64 * LOADING_PENALTY;
+            let queue_penalty = match coming >= max_loads || replica.unanswered_orders > 0 {
+                true => QUEUE_PENALTY,
+                false => 0.0,
+            };
             let fast_load_bonus = if replica.held_recently(adapter) {
                 0.4
             } else {
                 0.0
             };
-            work.unwrap_or(0.0) / slots + open + loading_penalty - fast_load_bonus
+            work.unwrap_or(0.0) / slots + open + loading_penalty + queue_penalty - fast_load_bonus
         };
         let fits = |replica: &&Replica| {
             replica.free_slots() > 0
                 && replica.is_usable()
                 && !replica.is_paused(now)
                 && !replica.is_gone(now)
+                && !replica.is_stuck()
                 && software.is_none_or(|one| one == replica.upstream.software)
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -71,6 +71,11 @@
     /// Whether the replica unloaded the adapter recently, so that its load is fast and doesn't use
     /// the store.
     pub recently_held: bool,
+    /// When the load that the replica has accepted was ordered; `None` if that is not known.
+    pub started_at: Option<Instant>,
+    /// Number of accepted orders that an order for a planned load expected, if the order was not
+    /// answered. The replica may still carry it out as long as it has accepted no other.
+    pub unanswered: Option<u64>,
 }
 
 /// An order that the replica has not answered yet.
@@ -82,6 +87,8 @@
     pub operation: Operation,
     /// Adapter or base model to load or unload.
     pub adapter: Adapter,
+    /// Number of accepted orders that the order expects.
+    pub expect: u64,
     /// When the order was sent.
     pub sent_at: Instant,
 }
@@ -108,6 +115,8 @@
     pub slots: BTreeMap<Adapter, Slot>,
     /// The order that the replica has not answered yet. There is at most one at a time.
     pub pending: Option<PendingOrder>,
+    /// Orders in a row that were not answered.
+    pub unanswered_orders: u32,
     /// Requests that all gateways together have open at the replica.
     pub open_requests: u32,
     /// Running requests by adapter. Counts only requests that were scheduled by this leader.
@@ -125,6 +134,8 @@
             state: State::Ready,
             since: now,
             recently_held: false,
+            started_at: None,
+            unanswered: None,
         };
         let models = upstream.models.iter();
         let models = models.map(|model| (model.name.clone(), slot(MODEL_VERSION)));
@@ -141,6 +152,7 @@
             report_pending: false,
             slots,
             pending: None,
+            unanswered_orders: 0,
             open_requests: 0,
             running_requests: BTreeMap::new(),
             recently_unloaded: VecDeque::new(),
@@ -276,6 +288,7 @@
     pub fn apply_report(&mut self, report: &Report, check_interval: Duration, now: Instant) {
         self.report_pending = false;
         self.accepted_orders = Some(report.accepted);
+        self.unanswered_orders = 0;
         let mut slots = BTreeMap::new();
         for model in &report.models {
             let slot = Slot::new(MODEL_VERSION, State::Ready, now);
@@ -314,6 +327,8 @@
             state,
             since: now,
             recently_held: false,
+            started_at: None,
+            unanswered: None,
         }
     }
 }
--- a/crates/tanagershift/src/gateway/placement/store_tests.rs
+++ b/crates/tanagershift/src/gateway/placement/store_tests.rs
@@ -215,7 +215,7 @@
     sim.placement.request_load("base/b", 1, sim.now);
     sim.run(Duration::from_millis(250));
     let unload_waits = sim.engines.blocked_unloads.contains_key("r00");
-    assert!(unload_waits, "{:?}", sim.placement.summary());
+    assert!(unload_waits, "{:?}", sim.placement.summary(sim.now));
     let orders = &sim.engines.orders[before..];
     let others = orders.iter().filter(|order| match order {
         Action::Order { adapter, .. } => *adapter != used.1,
--- a/crates/tanagershift/src/gateway/placement/tests.rs
+++ b/crates/tanagershift/src/gateway/placement/tests.rs
@@ -39,8 +39,21 @@
     pub(super) cached: Vec<String>,
     /// Number of concurrent loads up to which the store is not congested; zero for no limit.
     pub(super) uncongested_loads: usize,
+    /// Orders of a hundred that get no answer and are carried out seconds later.
+    pub(super) unanswered_percent: usize,
+    /// A replica that answers no order.
+    pub(super) silent: Option<String>,
+    /// Orders that are carried out late, with the time.
+    pub(super) late: Vec<(Instant, Action)>,
+    /// Loads that late orders have begun.
+    pub(super) late_loads: usize,
 }
 
+/// Time after which an order without an answer is given up, as on the leader's host.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Times after which orders without an answer are carried out, in turn.
+const LATE_SECONDS: [u64; 5] = [2, 7, 4, 12, 9];
+
 pub(super) struct Simulation {
     pub(super) placement: Placement,
     pub(super) engines: FakeEngines,
@@ -121,20 +134,72 @@
     pub(super) fn step(&mut self) {
         let now = self.now;
         self.engines.advance_loads();
-        while let Some((at, ..)) = self.delayed_answers.front()
-            && now >= *at
-            && let Some((_, replica, number, outcome)) = self.delayed_answers.pop_front()
-        {
+        let answers = std::mem::take(&mut self.delayed_answers);
+        let (due, later): (VecDeque<_>, _) = answers.into_iter().partition(|(at, ..)| now >= *at);
+        self.delayed_answers = later;
+        for (_, replica, number, outcome) in due {
             self.placement
                 .handle_order_outcome(&replica, number, outcome, now);
         }
+        self.execute_late();
         for action in self.placement.tick(true, now) {
             self.execute(action);
         }
     }
 
+    /// Carries out the orders that are due late. Their answers are lost.
+    fn execute_late(&mut self) {
+        let late = std::mem::take(&mut self.engines.late);
+        let now = self.now;
+        let (due, later): (Vec<_>, _) = late.into_iter().partition(|(at, _)| now >= *at);
+        self.engines.late = later;
+        for (_, action) in due {
+            if let Action::Order {
+                replica,
+                operation,
+                adapter,
+                expect,
+                ..
+            } = action
+            {
+                let before = self.engines.loading.len();
+                self.engines.order(&replica, operation, &adapter, expect);
+                self.engines.late_loads += self.engines.loading.len() - before;
+            }
+        }
+    }
+
+    /// Whether an order gets no answer. If so, it is carried out late.
+    fn delays(&mut self, action: &Action) -> bool {
+        let Action::Order {
+            replica, number, ..
+        } = action
+        else {
+            return false;
+        };
+        let count = self.engines.orders.len();
+        let is_late = scatter(count) % 100 < self.engines.unanswered_percent;
+        if !is_late && self.engines.silent.as_ref() != Some(replica) {
+            return false;
+        }
+        let delay = Duration::from_secs(LATE_SECONDS[scatter(count) / 100 % LATE_SECONDS.len()]);
+        self.engines.late.push((self.now + delay, action.clone()));
+        let answer = (
+            self.now + ORDER_TIMEOUT,
+            replica.clone(),
+            *number,
+            OrderOutcome::Unknown,
+        );
+        self.delayed_answers.push_back(answer);
+        true
+    }
+
     fn execute(&mut self, action: Action) {
         let now = self.now;
+        if self.delays(&action) {
+            self.engines.orders.push(action);
+            return;
+        }
         match &action {
             Action::Report { replica } => {
                 let report = self.engines.report(replica);
@@ -177,6 +242,11 @@
     }
 }
 
+/// Number that looks random, the same for each count.
+fn scatter(count: usize) -> usize {
+    count.wrapping_mul(2_654_435_761) % 1_000_003
+}
+
 impl FakeEngines {
     /// Advances all loads by one step. A congested store divides its throughput among the loads.
     fn advance_loads(&mut self) {
@@ -297,14 +367,14 @@
             .request_load(&format!("base/rare{number}"), 1, sim.now);
     }
     sim.run(Duration::from_millis(250));
-    let summary = sim.placement.summary();
+    let summary = sim.placement.summary(sim.now);
     let limit = Config::default().initial_load_limit;
     assert!(summary.loading <= limit + 1, "{summary:?}");
     assert!(summary.planned <= limit / 2, "{summary:?}");
     // The load requests are not repeated. The only loads are those planned before the requests
     // expire: as many as the store handles in that time, and the few that are planned ahead.
     sim.run(Duration::from_millis(1500));
-    assert_eq!(sim.placement.summary().wanted, 0);
+    assert_eq!(sim.placement.summary(sim.now).wanted, 0);
     let rounds = LOAD_REQUEST_TTL.as_millis().div_ceil(LOAD_TIME.as_millis()) as usize;
     let most = rounds * (limit + limit / 4);
     let loaded = sim.engines.loaded.len();
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -6,11 +6,13 @@
 
 use super::{
     Gateway,
-    ask::{Answer, ask, give_up_at},
+    absence::Absence,
+    ask::{Answer, LEADER_SILENCE_LIMIT, ask, give_up_at},
     choose::{Choice, Requirements, choose},
     concurrency::Start,
     exchange::{Job, Resumption, SelectedUpstream},
     forward::{MIN_SERVICE_TIME, Rejection, STARTUP_WAIT, Trace},
+    placement::Finding,
     quarantine::Standing,
 };
 use crate::{admission::Access, clock, id, link::Call};
@@ -23,6 +25,8 @@
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after which a gateway without a leader looks again for a free place at brittle upstreams.
 const PLACE_RECHECK: Duration = Duration::from_millis(20);
+/// Why a request is refused whose adapter no replica has while there is no leader.
+const ABSENT_REASON: &str = "no replica has the adapter, and there is no leader to have it loaded";
 /// Why a stream is refused that may have to run at one of several software versions.
 const UNKNOWN_SOFTWARE_REASON: &str =
     "the software version of the stream is not known without a leader";
@@ -131,7 +135,7 @@
             Choice::NoReplica if now + MIN_SERVICE_TIME >= job.deadline => {
                 return Err(Rejection::retry_later("the adapter was not loaded in time"));
             }
-            Choice::NoReplica => {}
+            Choice::NoReplica => reject_absent(gateway, job, now)?,
         }
         if wait_guard.is_none()
             && let Some(adapter) = &job.head.adapter
@@ -287,6 +291,38 @@
     Err(Rejection::quarantined(standing))
 }
 
+/// Rejects a request if no replica has its adapter, there is no leader that could have it loaded, and its
+/// caller is expected to leave before there is.
+fn reject_absent(gateway: &Gateway, job: &Job, now: Instant) -> Result<(), Rejection> {
+    let Some(adapter) = &job.head.adapter else {
+        return Ok(());
+    };
+    let last_notice_at = *gateway.last_notice_at.borrow();
+    let Some(last_notice_at) = last_notice_at else {
+        return Ok(());
+    };
+    if gateway.heard_leader_within(LEADER_SILENCE_LIMIT) || !gateway.view().is_absent(adapter) {
+        return Ok(());
+    }
+    let load_time = gateway
+        .view()
+        .store
+        .and_then(|one| Finding::from(one).shortest);
+    let absence = Absence {
+        last_notice_at,
+        order_silence: gateway.order_silence,
+        load_time,
+    };
+    match absence.retry_after(give_up_at(job), now) {
+        None => Ok(()),
+        Some(after) => {
+            let mut rejection = Rejection::retry_later(ABSENT_REASON);
+            rejection.retry_after = Some(after);
+            Err(rejection)
+        }
+    }
+}
+
 fn has_list(gateway: &Gateway) -> bool {
     gateway.view().has_list()
 }
--- a/crates/tanagershift/src/gateway/settings.rs
+++ b/crates/tanagershift/src/gateway/settings.rs
@@ -8,6 +8,10 @@
 use super::{quarantine, retry_budget};
 use crate::ini::{self, Section};
 
+/// Time after the last order of a host before which another host sends none, unless the settings say
+/// otherwise.
+pub const DEFAULT_ORDER_SILENCE: Duration = Duration::from_secs(3);
+
 /// Settings of a gateway, from the section `[gateway]`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -71,7 +75,7 @@
             list_calls_per_second: 20.0,
             list_interval: Duration::from_millis(500),
             version_bound: Duration::from_secs(5),
-            lease: Duration::from_secs(3),
+            lease: DEFAULT_ORDER_SILENCE,
             budget: retry_budget::Config::default(),
             quarantine: quarantine::Config::default(),
             take_up_margin: Duration::from_secs(10),
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -15,7 +15,7 @@
     limit::Permits,
     message::{
         Baseline, Counts, Demand, List, Notice, Pause, Rejections, Residency, ServiceDemand,
-        Upstream,
+        StoreReport, Upstream,
     },
     placement::FIRST_VERSION,
 };
@@ -123,6 +123,10 @@
     pub limits: Permits,
     /// Brittle upstreams, and this gateway's turns at them.
     pub shares: Shares,
+    /// What the last leader has told about the weight store.
+    pub store: Option<StoreReport>,
+    /// Whether a leader has sent all residencies since this process started.
+    has_snapshot: bool,
     /// Number of the watch of a leader; requests that were assigned in an earlier one are unknown to the
     /// leader.
     watch: u64,
@@ -171,7 +175,9 @@
         }
         if notice.is_snapshot {
             self.residencies.clear();
+            self.has_snapshot = true;
         }
+        self.store = notice.store.or(self.store);
         for announcement in &notice.announced {
             self.apply_announcement(&announcement.adapter, announcement.version, now);
         }
@@ -200,6 +206,12 @@
         }
     }
 
+    /// Whether no replica has an adapter, as far as a leader has told.
+    pub fn is_absent(&self, adapter: &str) -> bool {
+        let held = |replicas: &BTreeMap<id::Upstream, u64>| !replicas.is_empty();
+        self.has_snapshot && !self.residencies.get(adapter).is_some_and(held)
+    }
+
     /// Begins to watch a leader, which knows none of the open requests.
     pub fn begin_watch(&mut self, now: Instant) {
         self.watch += 1;
