overload: max-min fairness between client accounts, early refusals where they compete

Cause: all accounts stood in one queue, so a hot account took the room of the others; late requests of model services were held until their callers left. Change: while room is short, requests of accounts that have used less of their share, weighted by quota, go first within a rank. Where the configuration holds accounts, the refusal of late requests that will find no place covers services with models, and Retry-After is the time after which there would be one.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -333,6 +333,7 @@
             if let Some(configuration) = self.gateway.read_document(document) {
                 state.placement.configure(&configuration, Instant::now());
                 state.software.configure(&configuration);
+                state.scheduler.configure(&configuration.accounts);
                 let services = configuration.services.values();
                 let token_capacity = services.filter_map(|service| {
                     Some((service.name.clone(), service.engine.as_ref()?.kv_tokens))
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -292,16 +292,23 @@
                     ..Grant::default()
                 }));
             }
-            Decision::Refuse { number, holders } => {
+            Decision::Refuse {
+                number,
+                retry_after,
+                holders,
+            } => {
                 if let Some(request) = self.requests.get(&number) {
                     log::info!(
-                        "event=schedule.refuse request={} waited_ms={} waiting={} holders={holders}",
+                        "event=schedule.refuse request={} waited_ms={} waiting={} holders={holders} \
+                         retry_after_ms={}",
                         request.id,
                         now.duration_since(request.received_at).as_millis(),
-                        self.requests.len() - 1
+                        self.requests.len() - 1,
+                        retry_after.map_or(0, |after| after.as_millis())
                     );
                 }
-                self.refuse(number, "no replica could begin it in time", now);
+                let after = retry_after.unwrap_or(RETRY_AFTER);
+                self.refuse_until(number, "no replica could begin it in time", after, now);
             }
         }
     }
@@ -337,11 +344,16 @@
 
     /// Refuses a request that may be retried later.
     pub(super) fn refuse(&mut self, number: JobNumber, reason: &str, now: Instant) {
+        self.refuse_until(number, reason, RETRY_AFTER, now);
+    }
+
+    /// Refuses a request that may be retried after a time.
+    fn refuse_until(&mut self, number: JobNumber, reason: &str, after: Duration, now: Instant) {
         let Some(request) = self.requests.remove(&number) else {
             return;
         };
         request.responder.finish_now(Body::Grant(Grant {
-            retry_after_ms: RETRY_AFTER.as_millis() as u64,
+            retry_after_ms: after.as_millis() as u64,
             reason: reason.to_owned(),
             ..Grant::default()
         }));
@@ -392,6 +404,7 @@
         objective,
         refuse_at: now + Duration::from_millis(ask.give_up_ms),
         tried: ask.tried,
+        account: ask.account,
         software,
         is_resumable: ask.is_resumable,
         keys,
--- a/crates/tanagershift/src/gateway/job.rs
+++ b/crates/tanagershift/src/gateway/job.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a replica, as the scheduler sees them, and its decisions.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use tokio::time::Instant;
 
@@ -51,6 +51,8 @@
     pub refuse_at: Instant,
     /// Replicas that earlier attempts were sent to; they are not chosen again.
     pub tried: Vec<id::Upstream>,
+    /// Client account of its caller; empty without one.
+    pub account: String,
     /// Software version that it must run on, since it continues a stream; `None` if any will do.
     pub software: Option<id::Software>,
     /// Whether its answer is a stream that may be taken up when it breaks off.
@@ -164,6 +166,8 @@
     Refuse {
         /// Number of the job.
         number: JobNumber,
+        /// When it would be served, as far as that is known.
+        retry_after: Option<Duration>,
         /// Number of replicas that had what the job needs; all of them were busy or had been tried
         /// before.
         holders: usize,
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -15,7 +15,8 @@
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `concurrency`: bounds the requests that are open at brittle upstreams.
 //! * `limit`: request rates that upstreams in need have named.
-//! * `overload`: which late requests of a plain service are refused early.
+//! * `overload`: which late requests are refused early; `fair_use`: what client accounts get of too
+//!   little room.
 //! * `connect`: connects to upstreams, directly or through another host (`tunnel`, `tunnel_stream`);
 //!   `reach` decides which,
 //!   `helpers` selects the hosts.
@@ -48,6 +49,9 @@
 pub mod dialect;
 pub mod event_stream;
 pub mod exchange;
+pub mod fair_use;
+#[cfg(test)]
+mod fair_use_tests;
 pub mod forward;
 pub mod helpers;
 pub mod hub;
--- a/crates/tanagershift/src/gateway/overload.rs
+++ b/crates/tanagershift/src/gateway/overload.rs
@@ -1,6 +1,6 @@
-//! Overloads of plain services: which late jobs are refused before their time is up.
+//! Overloads of services: which late jobs are refused before their time is up.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use tokio::time::Instant;
 
@@ -10,7 +10,10 @@
 /// run on when fewer arrive.
 const KEPT_SHARE: f64 = 0.25;
 
-/// A time in which jobs of a plain service wait too long.
+/// Longest time that a refused caller is told to wait.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// A time in which jobs of a service wait too long.
 #[derive(Clone, Copy, Debug)]
 struct Overload {
     since: Instant,
@@ -21,9 +24,11 @@
     is_lasting: bool,
 }
 
-/// Plain services at which jobs are late.
+/// Services at which jobs are late.
 #[derive(Debug, Default)]
 pub struct Overloads {
+    /// Whether services with models are covered as well, since client accounts compete for them.
+    pub covers_models: bool,
     by_service: BTreeMap<String, Overload>,
 }
 
@@ -35,20 +40,21 @@
         }
     }
 
-    /// Whether a job of a plain service is late and will find no place, with this many before it. Callers use
-    /// a refusal that comes early to come back.
-    pub fn is_hopeless(&self, job: &Job, before: u32, now: Instant) -> bool {
+    /// Time after which a job would find a place, if the job is late and will find none in time with this
+    /// many before it. Callers use a refusal that comes early to come back.
+    pub fn hopeless(&self, job: &Job, before: u32, now: Instant) -> Option<Duration> {
         let overload = self.by_service.get(&job.service);
-        let Some(overload) = overload.filter(|overload| overload.is_lasting) else {
-            return false;
-        };
+        let overload = overload.filter(|overload| overload.is_lasting)?;
         let per_second = f64::from(overload.assigned) / (now - overload.since).as_secs_f64();
         let kept_time = (job.refuse_at - job.received_at).mul_f64(KEPT_SHARE);
         let kept = per_second * kept_time.as_secs_f64();
-        job.model.is_empty() && now > job.objective && f64::from(before) > kept
+        let is_covered = job.model.is_empty() || self.covers_models;
+        let is_hopeless = is_covered && now > job.objective && f64::from(before) > kept;
+        let wait = Duration::try_from_secs_f64(f64::from(before) / per_second);
+        is_hopeless.then(|| wait.unwrap_or(MAX_WAIT).min(MAX_WAIT))
     }
 
-    /// Applies which plain services have waiting jobs, each with one that is late, if any is. A lasting
+    /// Applies which services have waiting jobs, each with one that is late, if any is. A lasting
     /// overload ends when no job waits.
     pub fn update<'a>(
         &mut self,
--- a/crates/tanagershift/src/gateway/quarantine/tests.rs
+++ b/crates/tanagershift/src/gateway/quarantine/tests.rs
@@ -421,6 +421,7 @@
             objective: now + Duration::from_millis(750),
             refuse_at: now + Duration::from_millis(2800),
             tried: Vec::new(),
+            account: String::new(),
             software: None,
             is_resumable: false,
             keys: keys.to_vec(),
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -16,6 +16,8 @@
 
 pub use super::job::{Candidate, Decision, Job, JobGroup, JobNumber, Pauses, PromptPart};
 use super::{
+    account::Accounts,
+    fair_use::FairUse,
     limit::Limits,
     message::Streams,
     overload::Overloads,
@@ -132,6 +134,7 @@
     prompt_rates: BTreeMap<String, PromptRate>,
     running: BTreeMap<JobNumber, RunningJob>,
     overloads: Overloads,
+    fair_use: FairUse,
 }
 
 /// A job that was assigned to a replica and has not ended.
@@ -162,9 +165,16 @@
             prompt_rates: BTreeMap::new(),
             running: BTreeMap::new(),
             overloads: Overloads::default(),
+            fair_use: FairUse::default(),
         }
     }
 
+    /// Applies the client accounts of a configuration.
+    pub fn configure(&mut self, accounts: &Accounts) {
+        self.fair_use.configure(accounts);
+        self.overloads.covers_models = self.fair_use.is_active();
+    }
+
     /// Counts streams of a service that have ended.
     pub fn count_streams(&mut self, streams: &Streams, now: Instant) {
         let prompt_rate = self.prompt_rate(&streams.service, now);
@@ -288,6 +298,7 @@
         let mut decisions = self.bar(ledger, now);
         let mut ranked = Vec::new();
         let mut expired = Vec::new();
+        let levels = self.fair_use.levels(now);
         for (group, queue) in &mut self.groups {
             let numbers = &queue.jobs;
             let oldest = numbers.first().and_then(|number| self.waiting.get(number));
@@ -305,7 +316,9 @@
                     let late = now > job.objective;
                     // Only some replicas can go on with a stream, and new ones may begin anywhere.
                     let is_new = job.software.is_none();
-                    let rank = (late, job.priority, is_new, job.objective, job.number);
+                    let level = levels.get(job.account.as_str()).copied().unwrap_or(0);
+                    let (objective, number) = (job.objective, job.number);
+                    let rank = (late, job.priority, is_new, level, objective, number);
                     let busy = queue
                         .busy_since
                         .is_some_and(|since| now > since + MIN_BUSY_TIME);
@@ -317,7 +330,11 @@
         }
         for number in expired {
             self.remove(number);
-            decisions.push(Decision::Refuse { number, holders: 0 });
+            decisions.push(Decision::Refuse {
+                number,
+                retry_after: None,
+                holders: 0,
+            });
         }
         ranked.sort_by_key(|(rank, _, _)| *rank);
         // A request with fewer suspected keys shows more, so it is tried first.
@@ -364,12 +381,12 @@
                     holders: found.len(),
                     is_trial: ruling == Ruling::Trial,
                 });
-            } else if now >= job.refuse_at
-                || self.overloads.is_hopeless(
-                    job,
-                    *passed_over.get(&job.service).unwrap_or(&0),
-                    now,
-                )
+                continue;
+            }
+            let before = *passed_over.get(&job.service).unwrap_or(&0);
+            let hopeless = self.overloads.hopeless(job, before, now);
+            if now >= job.refuse_at
+                || hopeless.is_some()
                 || ledger.holds_until(&job.keys, job.refuse_at, now)
             {
                 if let Some(service) = late_service {
@@ -377,8 +394,12 @@
                 }
                 self.remove(number);
                 let holders = found.len();
-                decisions.push(Decision::Refuse { number, holders });
-            } else if job.model.is_empty() {
+                decisions.push(Decision::Refuse {
+                    number,
+                    retry_after: hopeless,
+                    holders,
+                });
+            } else {
                 *passed_over.entry(job.service.clone()).or_default() += 1;
             }
         }
@@ -386,16 +407,21 @@
         decisions
     }
 
-    /// Records at which plain services jobs are late.
+    /// Records at which services jobs are late.
     fn update_overloads(&mut self, now: Instant) {
-        let plain = self.groups.iter();
-        let plain = plain.filter(|(group, _)| group.model.is_empty());
-        let late = plain.map(|(group, queue)| {
-            let mut jobs = queue.jobs.iter().filter_map(|one| self.waiting.get(one));
-            let late = jobs.find(|job| now > job.objective);
-            (group.service.as_str(), late)
+        let covered = self.groups.iter();
+        let covers_models = self.overloads.covers_models;
+        let covered = covered.filter(|(group, queue)| {
+            group.model.is_empty() || covers_models && queue.busy_since.is_some()
         });
-        self.overloads.update(late, now);
+        let mut late: BTreeMap<&str, Option<&Job>> = BTreeMap::new();
+        for (group, queue) in covered {
+            let mut jobs = queue.jobs.iter().filter_map(|one| self.waiting.get(one));
+            let found = jobs.find(|job| now > job.objective);
+            let known = late.entry(group.service.as_str()).or_default();
+            *known = known.or(found);
+        }
+        self.overloads.update(late.into_iter(), now);
     }
 
     /// Removes the waiting jobs that crash replicas, or that have a prompt part which does.
@@ -527,10 +553,11 @@
             .entry(replica.to_owned())
             .or_insert_with(|| ReplicaLoad::new(now));
         let uncached = f64::from(load.uncached_tokens(&job, lifetime, now));
+        let tokens = job.prompt_tokens + job.max_output_tokens;
+        self.fair_use.count(&job.account, tokens, now);
         load.backlog = load.backlog_at(tokens_per_ms, now) + uncached;
         load.updated_at = now;
-        load.jobs
-            .insert(number, job.prompt_tokens + job.max_output_tokens);
+        load.jobs.insert(number, tokens);
         load.record_parts(&job, lifetime, now);
         let running = RunningJob {
             replica: replica.to_owned(),
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -28,6 +28,7 @@
         objective: now + Duration::from_millis(750),
         refuse_at: now + Duration::from_millis(2800),
         tried: Vec::new(),
+        account: String::new(),
         software: None,
         is_resumable: false,
         keys: Vec::new(),
@@ -217,6 +218,7 @@
     assert_eq!(
         decisions,
         [Decision::Refuse {
+            retry_after: None,
             number: 1,
             holders: 1
         }]
@@ -251,6 +253,7 @@
     assert_eq!(
         decisions,
         [Decision::Refuse {
+            retry_after: None,
             number: 1,
             holders: 0
         }]
