--- a/crates/tanagershift/src/gateway/fair_use_tests.rs
+++ b/crates/tanagershift/src/gateway/fair_use_tests.rs
@@ -165,7 +165,7 @@
         "one" => 0.0,
         _ => 4.0,
     };
-    let outcomes = run(&equal, &NAMES, back + Duration::from_secs(2), rate);
+    let outcomes = run(&equal, &NAMES, back + Duration::from_secs(3), rate);
     assert!(outcomes["one"].begun >= 6, "{outcomes:?}");
 }
 
