overload: refuse hopeless requests of uneven services early too

Cause: the early refusal covered services with models only where client accounts compete; callers of uneven replicas were held until they left. Change: it covers services whose replicas state paces that differ. Nothing changes for others.

--- a/crates/tanagershift/src/gateway/overload.rs
+++ b/crates/tanagershift/src/gateway/overload.rs
@@ -27,8 +27,6 @@
 /// Services at which jobs are late.
 #[derive(Debug, Default)]
 pub struct Overloads {
-    /// Whether services with models are covered as well, since client accounts compete for them.
-    pub covers_models: bool,
     by_service: BTreeMap<String, Overload>,
 }
 
@@ -48,8 +46,7 @@
         let per_second = f64::from(overload.assigned) / (now - overload.since).as_secs_f64();
         let kept_time = (job.refuse_at - job.received_at).mul_f64(KEPT_SHARE);
         let kept = per_second * kept_time.as_secs_f64();
-        let is_covered = job.model.is_empty() || self.covers_models;
-        let is_hopeless = is_covered && now > job.objective && f64::from(before) > kept;
+        let is_hopeless = now > job.objective && f64::from(before) > kept;
         let wait = Duration::try_from_secs_f64(f64::from(before) / per_second);
         is_hopeless.then(|| wait.unwrap_or(MAX_WAIT).min(MAX_WAIT))
     }
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -184,7 +184,6 @@
     /// Applies the client accounts of a configuration.
     pub fn configure(&mut self, accounts: &Accounts) {
         self.fair_use.configure(accounts);
-        self.overloads.covers_models = self.fair_use.is_active();
     }
 
     /// Counts streams of a service that have ended.
@@ -432,12 +431,18 @@
         decisions
     }
 
+    /// Whether late jobs of a service with models are refused early: client accounts compete for it, or its
+    /// replicas differ in pace.
+    fn refuses_early(&self, service: &str, now: Instant) -> bool {
+        self.fair_use.is_active() || self.paces.is_uneven(service, now)
+    }
+
     /// Records at which services jobs are late.
     fn update_overloads(&mut self, now: Instant) {
         let covered = self.groups.iter();
-        let covers_models = self.overloads.covers_models;
         let covered = covered.filter(|(group, queue)| {
-            group.model.is_empty() || covers_models && queue.busy_since.is_some()
+            let is_busy = queue.busy_since.is_some();
+            group.model.is_empty() || is_busy && self.refuses_early(&group.service, now)
         });
         let mut late: BTreeMap<&str, Option<&Job>> = BTreeMap::new();
         for (group, queue) in covered {
