placement: find the store's knee faster, free slots as fast as it fills them

Change: the limit doubles in each load time until the first congested load, the fleet's size counts until a load was observed, several slots a replica are freed while requests wait for adapters and fewer are free than the store fills during an eviction, adapters whose demand has moved on go first, and a planning pass ranks each replica once and looks names up by hash. An order without an answer is repeated after 60 ms.

--- a/crates/tanagershift/src/decaying_counts.rs
+++ b/crates/tanagershift/src/decaying_counts.rs
@@ -75,6 +75,18 @@
         self.value(key, now) * std::f64::consts::LN_2 / self.half_life.as_secs_f64()
     }
 
+    /// Time since the last request of a key; zero for an unknown key.
+    pub fn age<Q>(&self, key: &Q, now: Instant) -> Duration
+    where
+        K: Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        let count = self.counts.get(key);
+        count.map_or(Duration::ZERO, |count| {
+            now.saturating_duration_since(count.updated_at)
+        })
+    }
+
     /// Estimated requests per second of every key.
     pub fn rates(&self, now: Instant) -> impl Iterator<Item = (&K, f64)> {
         let scale = std::f64::consts::LN_2 / self.half_life.as_secs_f64();
--- a/crates/tanagershift/src/gateway/orders.rs
+++ b/crates/tanagershift/src/gateway/orders.rs
@@ -13,8 +13,7 @@
 
 /// Time limit for the answer to an order; replicas answer within a few milliseconds. An order without
 /// an answer is repeated, and until then its replica gets no other.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
-
+const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time limit for the answer to a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 
--- a/crates/tanagershift/src/gateway/placement/demand.rs
+++ b/crates/tanagershift/src/gateway/placement/demand.rs
@@ -70,7 +70,7 @@
         }
         let ahead = match self.load_requests.contains_key(adapter) {
             true => 0,
-            false => self.load_requests.len() + self.permits(now).in_use(),
+            false => self.load_requests.len() + self.store_loads,
         };
         let rounds = ahead as f64 / self.store.limit(now).max(1) as f64;
         let until_orders = orders_from.saturating_duration_since(now);
@@ -108,7 +108,7 @@
             let slot = replica.slots.get(adapter);
             slot.is_some_and(|slot| matches!(slot.state, State::Planned | State::Loading { .. }))
         };
-        let (store_loads, limit) = (self.permits(now).in_use(), self.store.limit(now));
+        let (store_loads, limit) = (self.store_loads, self.store.limit(now));
         // Adapters that no replica has take precedence.
         let store_busy = match self.load_requests.is_empty() {
             true => store_loads >= limit,
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -220,6 +220,8 @@
     load_time: Duration,
     /// Limit on concurrent loads from the store, over all replicas.
     store: Store,
+    /// Loads from the store that counted towards the limit at the last tick.
+    store_loads: usize,
     /// When the next base model may be loaded from the store.
     next_model_load: Option<Instant>,
     /// When the next planning pass is due.
@@ -233,6 +235,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             load_time: config.initial_load_time,
+            store_loads: 0,
             store: Store::new(config.initial_load_limit, config.min_load_limit),
             config,
             replicas: BTreeMap::new(),
@@ -299,10 +302,8 @@
             }
             self.replicas.insert(upstream.name.clone(), replica);
         }
-        if self.listed.is_empty() {
-            let fleet_limit = self.replicas.len() as f64 * INITIAL_LOADS_PER_REPLICA;
-            self.store.raise(fleet_limit);
-        }
+        let fleet_limit = self.replicas.len() as f64 * INITIAL_LOADS_PER_REPLICA;
+        self.store.raise(fleet_limit);
         self.listed = upstreams.to_vec();
         self.update_capacities();
     }
@@ -520,6 +521,7 @@
         }
         let mut actions = Vec::new();
         let mut store_loads = self.permits(now).in_use();
+        self.store_loads = store_loads;
         self.store.observe(store_loads, now);
         let due = |replica: &&Replica| replica.needs_attention(now);
         let due = self.replicas.values().filter(due);
--- a/crates/tanagershift/src/gateway/placement/permit_tests.rs
+++ b/crates/tanagershift/src/gateway/placement/permit_tests.rs
@@ -133,13 +133,28 @@
     }
     sim.run(Duration::from_millis(100));
     let wanted = wanted(5000, |_| 1);
-    run_waiting(&mut sim, &wanted, Duration::from_secs(seconds));
+    let first = run_waiting(&mut sim, &wanted, Duration::from_secs(seconds));
+    let first: Vec<_> = first
+        .iter()
+        .step_by(25)
+        .map(|one| {
+            (
+                one.limit,
+                one.permits.in_use(),
+                one.load_ms,
+                one.shortest_ms,
+            )
+        })
+        .collect();
     let later = run_waiting(&mut sim, &wanted, Duration::from_secs(3));
     let limits = later.iter().map(|one| one.limit).collect::<Vec<_>>();
     let mean = limits.iter().sum::<usize>() / limits.len();
     let (low, high) = (uncongested * 85 / 100, uncongested * 140 / 100);
     let last = later.last();
-    assert!(low <= mean && mean <= high, "mean limit {mean}, {last:#?}");
+    assert!(
+        low <= mean && mean <= high,
+        "mean limit {mean} after {first:?}, {last:#?}"
+    );
 }
 
 fn finding(limit: u32) -> Option<Finding> {
@@ -204,3 +219,38 @@
     let planned = slots.filter(|slot| slot.state == State::Planned);
     assert_eq!(planned.count(), 0);
 }
+
+/// Demand moves to other adapters while every slot is taken. Those whose requests have stopped must
+/// give way within a second or two, not those that were loaded for the new demand.
+#[test]
+fn demand_that_moves_on_evicts_what_it_left() {
+    let mut sim = Simulation::new(10, 8);
+    sim.run(Duration::from_millis(100));
+    let request = |sim: &mut Simulation, adapters: std::ops::Range<usize>, seconds: usize| {
+        let names: Vec<String> = adapters.map(|number| format!("base/n{number}")).collect();
+        for step in 0..seconds * 100 {
+            for name in names.iter().skip(step % 25).step_by(25) {
+                sim.record_requests(name, 1);
+            }
+            for name in &names {
+                if sim.replica_count(name) == 0 {
+                    sim.placement.request_load(name, 1, sim.now);
+                }
+            }
+            sim.now += STEP;
+            sim.step();
+        }
+        let held = names.iter().filter(|name| sim.replica_count(name) > 0);
+        (held.count(), names.len())
+    };
+    assert_eq!(request(&mut sim, 0..60, 6), (60, 60));
+    let before = sim.engines.orders.len();
+    let (held, wanted) = request(&mut sim, 100..160, 3);
+    assert!(held * 10 >= wanted * 9, "{held} of {wanted}");
+    let loads = sim.engines.orders[before..].iter().filter(
+        |order| matches!(order, Action::Order { operation, .. } if *operation == Operation::Load),
+    );
+    // Each is ordered once and polled once or twice; few are loaded again.
+    let loads = loads.count();
+    assert!(loads <= wanted * 4, "{loads} orders to load");
+}
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -18,6 +18,12 @@
 const DEFAULT_MODEL_LOADS_PER_SECOND: f64 = 1.0;
 /// Assumed mean run time of a request until enough requests have been observed.
 const INITIAL_RUN_TIME_SECONDS: f64 = 2.0;
+/// Time that an eviction takes after the delay in which gateways learn of it.
+const EVICTION_MARGIN: Duration = Duration::from_millis(150);
+/// Requests that were expected since the last one above which a rate is not plausible.
+const MAX_SILENT_REQUESTS: f64 = 2.5;
+/// Weight of the observed rate among adapters whose rates are not plausible any more.
+const OBSERVED_RATE_WEIGHT: f64 = 0.01;
 /// Penalty for each load that a replica already has before it, as a share of its slots.
 const LOADING_PENALTY: f64 = 0.05;
 /// Penalty of a replica where a further load would have to wait for the earlier ones.
@@ -141,7 +147,9 @@
         }
         requested.sort();
         let mut expected = self.expected_work(now);
-        let budget = self.load_budget(now);
+        let usable = self.replicas.values().filter(|one| one.is_usable());
+        let free: usize = usable.map(Replica::free_slots).sum();
+        let budget = self.load_budget(now).min(free);
         for (_, _, adapter) in requested.into_iter().take(budget) {
             if self.plan_load(&adapter, &mut expected, now) {
                 *replica_counts.entry(adapter).or_default() += 1;
@@ -259,13 +267,10 @@
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
         };
-        let best = self
-            .replicas
-            .values()
-            .filter(fits)
-            .min_by(|left, right| rank(left).total_cmp(&rank(right)))
-            .map(|replica| replica.upstream.name.clone());
-        let Some(name) = best else {
+        let ranked = self.replicas.values().filter(fits);
+        let ranked = ranked.map(|replica| (rank(replica), &replica.upstream.name));
+        let best = ranked.min_by(|(left, _), (right, _)| left.total_cmp(right));
+        let Some(name) = best.map(|(_, name)| name.clone()) else {
             return false;
         };
         *expected.entry(name.clone()).or_default() += 1.0;
@@ -332,28 +337,56 @@
         }
     }
 
-    /// Keeps `Config::min_free_slots` slots free on each replica by retiring its adapters with the
-    /// fewest recent requests per replica that has them. Adapters without running requests are
-    /// retired first.
+    /// Slots to keep free on each replica: `Config::min_free_slots`, or, while requests wait for
+    /// adapters, as many as the store fills during one eviction.
+    fn min_free_slots(&self) -> usize {
+        let least = self.config.min_free_slots;
+        if self.load_requests.is_empty() {
+            return least;
+        }
+        let usable = self.replicas.values().filter(|one| one.is_usable());
+        let free: usize = usable.map(Replica::free_slots).sum();
+        let eviction = self.config.retire_delay + EVICTION_MARGIN;
+        let load_time = self.store.shortest().unwrap_or(self.load_time);
+        let filled = self.store.finding().limit * eviction.div_duration_f64(load_time);
+        if free as f64 >= filled {
+            return least;
+        }
+        let replicas = self.replicas.len().max(1) as f64;
+        least.max((filled / replicas).ceil() as usize)
+    }
+
+    /// Expected rate of requests for an adapter, by which adapters are kept: the observed one, but no
+    /// more than the time since the last request allows for. The demand for an adapter that has been
+    /// silent for longer has moved on.
+    fn retention_score(&self, adapter: &str, now: Instant) -> f64 {
+        let rate = self.retention_scores.rate(adapter, now);
+        let silence = self.retention_scores.age(adapter, now).as_secs_f64();
+        rate.min(MAX_SILENT_REQUESTS / silence.max(0.001)) + rate * OBSERVED_RATE_WEIGHT
+    }
+
+    /// Keeps slots free on each replica by retiring its adapters with the fewest recent requests per
+    /// replica that has them. Adapters without running requests are retired first.
     pub(super) fn retire_least_requested(
         &mut self,
         replica_counts: &HashMap<Adapter, usize>,
         now: Instant,
     ) {
         let mut retired = Vec::new();
+        let free_slots = self.min_free_slots();
         for (name, replica) in self.replicas.iter().filter(|(_, one)| one.is_usable()) {
             let leaving = |slot: &&Slot| {
                 matches!(slot.state, State::Retiring { .. } | State::Unloading { .. })
             };
             let free = replica.free_slots() + replica.slots.values().filter(leaving).count();
-            let min_free_slots = self.config.min_free_slots.min(replica.capacity / 2);
+            let min_free_slots = free_slots.min(replica.capacity / 2);
             let count = min_free_slots.saturating_sub(free);
             if count == 0 {
                 continue;
             }
             let demand_per_replica = |adapter: &Adapter| {
                 let replicas = replica_counts.get(adapter).copied().unwrap_or(1).max(1);
-                self.retention_scores.value(adapter, now) / replicas as f64
+                self.retention_score(adapter, now) / replicas as f64
             };
             let evictable = |(_, slot): &(&Adapter, &Slot)| {
                 slot.state == State::Ready && now > slot.since + MIN_RESIDENCY
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -1,7 +1,7 @@
 //! State of one replica in the placement: its adapter slots and its pending order.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -123,6 +123,8 @@
     pub running_requests: BTreeMap<Adapter, u32>,
     /// Recently unloaded adapters, the latest at the back.
     recently_unloaded: VecDeque<Adapter>,
+    /// The same adapters, for lookups.
+    unloaded: HashSet<Adapter>,
 }
 
 impl Replica {
@@ -156,6 +158,7 @@
             open_requests: 0,
             running_requests: BTreeMap::new(),
             recently_unloaded: VecDeque::new(),
+            unloaded: HashSet::new(),
         }
     }
 
@@ -204,7 +207,7 @@
 
     /// Whether the replica unloaded an adapter recently, so that loading it again is fast.
     pub fn held_recently(&self, adapter: &str) -> bool {
-        self.recently_unloaded.iter().any(|known| known == adapter)
+        self.unloaded.contains(adapter)
     }
 
     /// Whether requests run on an adapter. An unload would have to wait for them.
@@ -264,10 +267,14 @@
     pub fn remove(&mut self, adapter: &str) -> Option<Slot> {
         let slot = self.slots.remove(adapter)?;
         if !matches!(slot.state, State::Planned) {
-            self.recently_unloaded.retain(|known| known != adapter);
+            if !self.unloaded.insert(adapter.to_owned()) {
+                self.recently_unloaded.retain(|known| known != adapter);
+            }
             self.recently_unloaded.push_back(adapter.to_owned());
-            if self.recently_unloaded.len() > MAX_RECENTLY_UNLOADED {
-                self.recently_unloaded.pop_front();
+            if self.recently_unloaded.len() > MAX_RECENTLY_UNLOADED
+                && let Some(oldest) = self.recently_unloaded.pop_front()
+            {
+                self.unloaded.remove(&oldest);
             }
         }
         Some(slot)
--- a/crates/tanagershift/src/gateway/placement/store.rs
+++ b/crates/tanagershift/src/gateway/placement/store.rs
@@ -10,12 +10,15 @@
 use tokio::time::Instant;
 
 /// Ratio of a load's duration to the shortest one up to which the store counts as fast.
-const FAST_RATIO: f64 = 1.2;
+const FAST_RATIO: f64 = 1.12;
 /// The same ratio above which the store counts as congested.
-const CONGESTED_RATIO: f64 = 1.25;
+const CONGESTED_RATIO: f64 = 1.2;
 /// Ratio to the shortest duration that a congested load had certainly reached.
 const CERTAIN_RATIO: f64 = 1.1;
-/// Growth of the limit with each fast load, so that it grows by a quarter in one load time.
+/// Growth of the limit with each fast load until the first congested one, so that it doubles in one
+/// load time.
+const INITIAL_GROWTH: f64 = 1.0;
+/// Growth of the limit with each fast load after that.
 const GROWTH: f64 = 0.25;
 /// Weight of one congested load's estimate of the knee.
 const ESTIMATE_WEIGHT: f64 = 0.15;
@@ -23,12 +26,17 @@
 const MAX_DECREASE: f64 = 0.05;
 /// Share of the limit that counts as reached: the notice that a load has ended comes late.
 const REACHED_SHARE: f64 = 0.85;
+/// Time after which the end of a load is usually noticed, given that it is polled.
+const NOTICE_TIME: Duration = Duration::from_millis(20);
 /// Share of the limit up to which the store is certain not to be congested.
 const CALM_SHARE: f64 = 0.6;
+/// Time over which the concurrency is averaged for that.
+const CALM_TIME: Duration = Duration::from_millis(500);
 /// Share of the limit to which a probe of the shortest load time lowers the concurrency.
 const PROBE_SHARE: f64 = 0.5;
-/// Duration of a probe in load times: the loads in progress end, then some at lower concurrency.
-const PROBE_LOAD_TIMES: f64 = 2.0;
+/// Upper bound of the duration of a probe in load times. It ends with the first load at lower
+/// concurrency.
+const PROBE_LOAD_TIMES: f64 = 3.0;
 /// Ratio of throughputs from which on the store was certainly not congested at the lower one.
 const RISE_RATIO: f64 = 1.3;
 /// Time at the limit until the first probe; doubles with each probe that finds nothing new.
@@ -75,8 +83,11 @@
     history: VecDeque<(Instant, usize, f64)>,
     /// When the store has last been certain not to be congested.
     calm_at: Option<Instant>,
+    /// Whether a load has been congested.
+    was_congested: bool,
     probe_interval: Duration,
-    probe_until: Option<Instant>,
+    /// Start and latest end of the probe.
+    probe: Option<(Instant, Instant)>,
 }
 
 impl Store {
@@ -90,8 +101,9 @@
             shortest_concurrency: 0.0,
             history: VecDeque::new(),
             calm_at: None,
+            was_congested: false,
             probe_interval: FIRST_PROBE,
-            probe_until: None,
+            probe: None,
         }
     }
 
@@ -149,7 +161,10 @@
         {
             self.history.pop_front();
         }
-        let calm = in_progress as f64 <= self.limit * CALM_SHARE;
+        // Loads that end together leave the store idle for a moment only.
+        let since = now.checked_sub(CALM_TIME).unwrap_or(now);
+        let calm = in_progress as f64 <= self.limit * CALM_SHARE
+            && self.mean_concurrency(since, now) <= self.limit * CALM_SHARE;
         if calm && !self.is_probing(now) || self.calm_at.is_none() {
             self.calm_at = Some(now);
         }
@@ -159,7 +174,7 @@
             && self.limit > self.floor
         {
             self.calm_at = Some(now);
-            self.probe_until = Some(now + shortest.mul_f64(PROBE_LOAD_TIMES));
+            self.probe = Some((now, now + shortest.mul_f64(PROBE_LOAD_TIMES)));
             self.probe_interval = (self.probe_interval * 2).min(MAX_PROBE_INTERVAL);
         }
     }
@@ -180,10 +195,21 @@
         let Some(shortest) = self.shortest() else {
             return;
         };
-        let estimated = (min_duration + max_duration) / 2;
+        let is_probe = |(begun_at, _): (Instant, Instant)| started_at >= begun_at;
+        if self.is_probing(now)
+            && self.probe.is_some_and(is_probe)
+            && !min_duration.is_zero()
+            && concurrency <= self.limit * CALM_SHARE
+        {
+            self.probe = None;
+            self.calm_at = Some(now);
+        }
+        // The end of a load may be noticed late.
+        let estimated = max_duration.min(min_duration + NOTICE_TIME);
         let congested = estimated > shortest.mul_f64(CONGESTED_RATIO)
             && min_duration > shortest.mul_f64(CERTAIN_RATIO);
         if congested {
+            self.was_congested = true;
             let knee = concurrency * shortest.div_duration_f64(estimated);
             if knee < self.limit {
                 let step = (self.limit - knee) * ESTIMATE_WEIGHT;
@@ -197,7 +223,10 @@
                 self.probe_interval = MAX_PROBE_INTERVAL;
             }
             if concurrency >= self.limit * REACHED_SHARE && is_wanted {
-                self.limit += GROWTH;
+                self.limit += match self.was_congested {
+                    true => GROWTH,
+                    false => INITIAL_GROWTH,
+                };
             }
         }
     }
@@ -214,7 +243,7 @@
     }
 
     fn is_probing(&self, now: Instant) -> bool {
-        self.probe_until.is_some_and(|until| now < until)
+        self.probe.is_some_and(|(_, until)| now < until)
     }
 
     fn rotate_window(&mut self, now: Instant) {
--- a/crates/tanagershift/src/gateway/placement/tests.rs
+++ b/crates/tanagershift/src/gateway/placement/tests.rs
@@ -50,7 +50,7 @@
 }
 
 /// Time after which an order without an answer is given up, as on the leader's host.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(100);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Times after which orders without an answer are carried out, in turn.
 const LATE_SECONDS: [u64; 5] = [2, 7, 4, 12, 9];
 
