gateway: cost of each replica, kept prompts by memory, drawn plain upstreams

Cause: (1) hosts chose the plain upstream that looked least busy in news of some 300 ms ago, all the same one; (2) long outputs went to slow replicas; (3) a part of a prompt counted as kept for 15 s whatever the replica's memory. Change: hosts draw an upstream of an uneven plain service by its slots, pace and queue (spread); the leader weighs the first event, the output, the pauses beside a prompt and the place of each candidate, passes over replicas that cannot finish in time, and refuses what none can (cost); parts are kept in the order of their use within the replica's memory (prompt_cache). Hosts send deadline, pause objective and the caller's estimate of the length. schedule.send shows the parts of the cost.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -14,7 +14,7 @@
     dialect::RequestHead,
     exchange::{Job, Resumption},
     forward::Rejection,
-    message::{Ask, Grant, Upstream, split_keys},
+    message::{Ask, Grant, Need, Upstream, split_keys},
 };
 use crate::{link::Call, wire::Body};
 
@@ -148,6 +148,14 @@
         resumes: job.head.resumes.clone().unwrap_or_default(),
         software: resumption.software.clone(),
         is_bounded,
+        need: Some(Need {
+            deadline_ms: millis(job.deadline),
+            gap_ms: job
+                .route
+                .max_event_gap
+                .map_or(0, |gap| gap.as_millis() as u32),
+            output_tokens: job.head.output_tokens(),
+        }),
         paces,
     }
 }
--- a/crates/tanagershift/src/gateway/choose.rs
+++ b/crates/tanagershift/src/gateway/choose.rs
@@ -6,6 +6,7 @@
 
 use super::{
     message::Upstream,
+    spread::{Place, draw},
     view::{KnownUpstream, View},
 };
 use crate::admission::Access;
@@ -97,6 +98,9 @@
         live.rotate_left(first);
     }
     let Some(wanted) = requirements.adapter.or(requirements.model) else {
+        if view.paces.is_uneven(requirements.service, now) && !requirements.has_turn {
+            return draw_upstream(view, &live, requirements.zone, now);
+        }
         let best = least_busy(
             live.into_iter().map(|known| (known, None)),
             requirements.zone,
@@ -162,6 +166,22 @@
     }
 }
 
+/// Draws an upstream of an uneven plain service.
+fn draw_upstream(view: &View, live: &[&KnownUpstream], zone: &str, now: Instant) -> Choice {
+    let place = |known: &&KnownUpstream| Place {
+        slots: known.upstream.slots,
+        open: known.open_requests(now),
+        pace: view.paces.estimate(&known.upstream.name, now).now,
+        is_near: known.upstream.zone == zone,
+        is_ejected: known.is_ejected(now),
+    };
+    let places: Vec<Place> = live.iter().map(place).collect();
+    let drawn = draw(&places, rand::random()).and_then(|position| live.get(position));
+    drawn.map_or(Choice::NoUpstream, |known| {
+        Choice::Send(known.upstream.clone(), None)
+    })
+}
+
 /// The least busy candidate; ejected ones come last.
 fn least_busy<'a>(
     candidates: impl Iterator<Item = (&'a KnownUpstream, Option<u64>)>,
--- a/crates/tanagershift/src/gateway/dialect.rs
+++ b/crates/tanagershift/src/gateway/dialect.rs
@@ -30,6 +30,8 @@
     pub adapter: Option<String>,
     /// Number of prompt tokens and largest number of output tokens, if stated.
     pub tokens: Option<(u32, u32)>,
+    /// Number of output tokens that the caller expects, if it says so.
+    pub expected_output: Option<u32>,
     /// Parts of the prompt in order, each with an id and its number of tokens. Equal ids mean equal
     /// parts, also in different requests.
     pub prompt_parts: Vec<(u64, u32)>,
@@ -40,6 +42,16 @@
 }
 
 impl RequestHead {
+    /// Expected number of output tokens: the caller's estimate within its limit; zero if unknown.
+    pub fn output_tokens(&self) -> u32 {
+        let most = self.tokens.map_or(0, |(_, output)| output);
+        match self.expected_output {
+            Some(expected) if most > 0 => expected.min(most),
+            Some(expected) => expected,
+            None => most,
+        }
+    }
+
     /// Whether the caller takes up a stream that broke off after an event.
     pub fn continues_stream(&self) -> bool {
         self.resume_after.is_some_and(|after| after > 0)
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -252,7 +252,8 @@
                 replica,
                 adapter,
                 version,
-                cost_ms,
+                cost,
+                pace,
                 holders,
                 is_trial,
             } => {
@@ -266,7 +267,7 @@
                     return;
                 };
                 log::info!(
-                    "event=schedule.send request={} replica={replica} version={} cost_ms={cost_ms} \
+                    "event=schedule.send request={} replica={replica} version={} {cost} {pace} \
                      holders={holders} running={} waited_ms={} waiting={} trial={is_trial}",
                     request.id,
                     version.unwrap_or(0),
@@ -378,8 +379,17 @@
         digest: *digest,
         tokens: *tokens,
     };
+    let need = ask.need;
+    let output = need.as_ref().map_or(0, |need| need.output_tokens);
+    let gap_ms = need.as_ref().map_or(0, |need| need.gap_ms);
     Job {
         number,
+        output_tokens: match output {
+            0 => ask.max_output_tokens,
+            tokens => tokens,
+        },
+        deadline: need.map(|need| now + Duration::from_millis(need.deadline_ms)),
+        max_gap: (gap_ms > 0).then(|| Duration::from_millis(gap_ms.into())),
         parts: parts.map(part).collect(),
         service: ask.service,
         model: ask.model,
--- a/crates/tanagershift/src/gateway/job.rs
+++ b/crates/tanagershift/src/gateway/job.rs
@@ -1,9 +1,10 @@
 //! Requests that wait for a replica, as the scheduler sees them, and its decisions.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use tokio::time::Instant;
 
+use super::{cost::Cost, pace::Estimate};
 use crate::{id, voter::command::Key};
 
 /// Number that the leader gives to a request for a replica; unique within its term.
@@ -38,6 +39,12 @@
     pub prompt_tokens: u32,
     /// Upper limit of the output in tokens.
     pub max_output_tokens: u32,
+    /// Expected length of the output in tokens.
+    pub output_tokens: u32,
+    /// When the caller leaves; `None` if its host does not say.
+    pub deadline: Option<Instant>,
+    /// Objective for pauses in its answer, if it has one.
+    pub max_gap: Option<Duration>,
     /// Parts of the prompt in order.
     pub parts: Vec<PromptPart>,
     /// Priority class; zero is the most urgent.
@@ -59,6 +66,23 @@
     pub keys: Vec<Key>,
 }
 
+/// A job that was assigned to a replica and has not ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningJob {
+    /// Replica that runs it.
+    pub replica: id::Upstream,
+    /// Host of its gateway.
+    pub host: id::Host,
+    /// Adapter that it uses; `None` for the base model alone.
+    pub adapter: Option<String>,
+    /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
+    pub keys: Vec<Key>,
+    /// Whether its answer is a stream that may be taken up when it breaks off.
+    pub is_resumable: bool,
+    /// When the job was assigned.
+    pub assigned_at: Instant,
+}
+
 /// What a job needs of a replica. All jobs of a group can run on the same replicas.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobGroup {
@@ -135,7 +159,7 @@
 }
 
 /// Result of scheduling one waiting job.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// The job is sent to a replica.
     Send {
@@ -147,9 +171,10 @@
         adapter: Option<String>,
         /// Loaded version of the adapter on that replica.
         version: Option<u64>,
-        /// Estimated milliseconds until the replica has processed the prompt, plus penalties for
-        /// another zone and for load.
-        cost_ms: u64,
+        /// What it costs there.
+        cost: Cost,
+        /// Pace of the replica.
+        pace: Estimate,
         /// Number of replicas that had what the job needs.
         holders: usize,
         /// Whether the job, or a part of its prompt, is suspected to crash replicas.
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -414,6 +414,9 @@
     /// Events after the first one, summed over the streams.
     #[prost(uint32, tag = "6")]
     pub events: u32,
+    /// Output tokens that were expected, summed over the streams.
+    #[prost(uint64, tag = "7")]
+    pub output_tokens: u64,
 }
 
 /// Request counts of one adapter.
@@ -502,11 +505,29 @@
     /// service is brittle.
     #[prost(bool, tag = "21")]
     pub is_bounded: bool,
+    /// What the request needs of its replica; absent if an older host asks.
+    #[prost(message, optional, tag = "25")]
+    pub need: Option<Need>,
     /// Paces that upstreams have stated to the gateway, where they have changed.
     #[prost(message, repeated, tag = "26")]
     pub paces: Vec<PaceReport>,
 }
 
+/// What a request needs of its replica besides its objective.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
+pub struct Need {
+    /// Milliseconds until the caller leaves.
+    #[prost(uint64, tag = "1")]
+    pub deadline_ms: u64,
+    /// Objective of the route for pauses in milliseconds; zero for none.
+    #[prost(uint32, tag = "2")]
+    pub gap_ms: u32,
+    /// Output tokens that the caller expects; zero if it does not say.
+    #[prost(uint32, tag = "3")]
+    pub output_tokens: u32,
+}
+
 impl Ask {
     /// Everything about the request that may crash replicas.
     pub fn keys(&self) -> Vec<Key> {
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -40,6 +40,9 @@
 pub mod connection;
 pub mod continuation;
 pub mod control;
+pub mod cost;
+#[cfg(test)]
+mod cost_tests;
 pub mod daemon;
 mod detour_message;
 pub mod dialect;
@@ -62,12 +65,16 @@
 pub mod patch;
 pub mod placement;
 pub mod progress;
+pub mod prompt_cache;
+#[cfg(test)]
+mod prompt_cache_tests;
 pub mod prompt_rate;
 pub mod quarantine;
 pub mod reach;
 #[cfg(test)]
 mod reach_tests;
 pub mod relay;
+pub mod replica_load;
 pub mod retry_budget;
 pub mod scheduler;
 #[cfg(test)]
@@ -76,6 +83,9 @@
 pub mod server;
 pub mod settings;
 pub mod signal;
+pub mod spread;
+#[cfg(test)]
+mod spread_tests;
 #[cfg(test)]
 mod take_up_tests;
 #[cfg(test)]
@@ -288,16 +298,17 @@
 
     /// Counts a stream of a service that was relayed to its end. `gap_exceeded` says whether a gap
     /// between two of its events was longer than the objective of its route.
-    /// `run` is the replica that ran all of it, with the time between its first and last events.
+    /// `run` is the replica that ran all of it, with the output tokens that were expected and its
+    /// timing.
     pub fn count_stream(
         &self,
         service: &str,
         gap_exceeded: bool,
-        run: Option<(&str, &StreamTiming)>,
+        run: Option<(&str, u32, &StreamTiming)>,
     ) {
         let is_uneven = self.view().paces.is_uneven(service, Instant::now());
         let run = run.filter(|_| is_uneven);
-        let upstream = run.map_or("", |(upstream, _)| upstream);
+        let upstream = run.map_or("", |(upstream, ..)| upstream);
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         let entry = streams.entry((service.to_owned(), upstream.to_owned()));
         let counts = entry.or_insert_with(|| message::Streams {
@@ -305,7 +316,8 @@
             upstream: upstream.to_owned(),
             ..message::Streams::default()
         });
-        if let Some((_, timing)) = run {
+        if let Some((_, tokens, timing)) = run {
+            counts.output_tokens += u64::from(tokens);
             counts.span_ms += timing.span.as_millis() as u64;
             counts.events += timing.events.saturating_sub(1);
         }
--- a/crates/tanagershift/src/gateway/pace.rs
+++ b/crates/tanagershift/src/gateway/pace.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt,
     time::Duration,
 };
 
@@ -75,6 +76,19 @@
     }
 }
 
+/// Writes the estimate as `key=value`: -1 as the age without a figure.
+impl fmt::Display for Estimate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "pace={:.2} lasting_pace={:.2} pace_age_ms={}",
+            self.now,
+            self.lasting,
+            self.age.map_or(-1, |age| age.as_millis() as i64),
+        )
+    }
+}
+
 /// What is known of one upstream.
 #[derive(Clone, Copy, Debug)]
 struct Known {
@@ -236,6 +250,12 @@
         known.map_or(Estimate::USUAL, |known| known.estimate(now))
     }
 
+    /// Lasting pace of the fastest upstream.
+    pub fn fastest(&self, now: Instant) -> f64 {
+        let lasting = self.known.values().map(|known| known.estimate(now).lasting);
+        lasting.fold(USUAL, f64::min)
+    }
+
     /// Whether streams that end now at an upstream may have paused since it was slow.
     pub fn was_slow(&self, upstream: &str, now: Instant) -> bool {
         let slow_at = self.known.get(upstream).and_then(|known| known.slow_at);
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -465,7 +465,10 @@
             let max_gap = self.job.route.max_event_gap;
             let gap_exceeded = max_gap.is_some_and(|max| self.timing.longest_gap > max);
             let run = match self.trace.tried.as_slice() {
-                [upstream] => Some((upstream.as_str(), &self.timing)),
+                [upstream] => {
+                    let tokens = self.job.head.output_tokens();
+                    Some((upstream.as_str(), tokens, &self.timing))
+                }
                 _ => None,
             };
             self.gateway
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -7,21 +7,25 @@
 //! ordered by urgency, rather than at the replica.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
 
 use tokio::time::Instant;
 
-pub use super::job::{Candidate, Decision, Job, JobGroup, JobNumber, Pauses, PromptPart};
+pub use super::job::{
+    Candidate, Decision, Job, JobGroup, JobNumber, Pauses, PromptPart, RunningJob,
+};
 use super::{
+    cost::{Cost, Lengths, Need, Offer},
     limit::Limits,
     message::Streams,
     overload::Overloads,
     pace::{Estimate, Paces},
     prompt_rate::PromptRate,
     quarantine::{Ledger, Ruling},
+    replica_load::ReplicaLoad,
 };
 use crate::{id, voter::command::Key};
 
@@ -32,8 +36,6 @@
     pub capacity_share: f64,
     /// Share of a replica's slots that is filled.
     pub slot_share: f64,
-    /// Time for which a replica is assumed to keep a part of a prompt in its KV cache.
-    pub prefix_lifetime: Duration,
 }
 
 impl Default for Config {
@@ -41,22 +43,18 @@
         Self {
             capacity_share: 0.9,
             slot_share: 0.95,
-            prefix_lifetime: Duration::from_secs(15),
         }
     }
 }
 
-/// Cost of a replica in another availability zone, in milliseconds of waiting.
-const CROSS_ZONE_COST_MS: f64 = 15.0;
-/// Cost of a full replica compared to an empty one, in milliseconds of waiting.
-const FULL_REPLICA_COST_MS: f64 = 60.0;
 /// Minimum time for which a group must have waited although replicas have what it needs, before a
 /// late job of the group is attributed to busy replicas.
 const MIN_BUSY_TIME: Duration = Duration::from_millis(100);
 /// Time after its assignment in which a job may not have begun to run.
 const MAX_BEGIN_TIME: Duration = Duration::from_secs(3);
-/// Number of remembered prompt parts of a replica above which expired ones are removed.
-const PARTS_CLEANUP_THRESHOLD: usize = 4096;
+/// Share of the expected time of a job at the fastest replica that must be left: its output may be
+/// shorter than expected.
+const HOPELESS_SHARE: f64 = 0.5;
 
 /// Waiting jobs of one group.
 #[derive(Debug, Default)]
@@ -68,67 +66,6 @@
     busy_since: Option<Instant>,
 }
 
-/// What the scheduler has assigned to one replica.
-#[derive(Clone, Debug)]
-struct ReplicaLoad {
-    /// Prompt tokens that were not yet processed at `updated_at`.
-    backlog: f64,
-    updated_at: Instant,
-    /// Requests that the replica runs concurrently.
-    slots: u32,
-    /// Tokens reserved for each running job.
-    jobs: BTreeMap<JobNumber, u32>,
-    /// When a prompt part was last assigned to the replica, by digest.
-    parts: HashMap<u64, Instant>,
-}
-
-impl ReplicaLoad {
-    fn new(now: Instant) -> Self {
-        Self {
-            backlog: 0.0,
-            updated_at: now,
-            slots: 0,
-            jobs: BTreeMap::new(),
-            parts: HashMap::new(),
-        }
-    }
-
-    fn backlog_at(&self, tokens_per_ms: f64, now: Instant) -> f64 {
-        let passed_ms = now.saturating_duration_since(self.updated_at).as_secs_f64() * 1000.0;
-        (self.backlog - passed_ms * tokens_per_ms).max(0.0)
-    }
-
-    /// Share of the replica's slots that run jobs.
-    fn fill(&self) -> f64 {
-        self.jobs.len() as f64 / f64::from(self.slots.max(1))
-    }
-
-    /// Tokens of a job's prompt after the longest prefix that the replica has cached.
-    fn uncached_tokens(&self, job: &Job, lifetime: Duration, now: Instant) -> u32 {
-        let cached = |part: &&PromptPart| {
-            let assigned_at = self.parts.get(&part.digest);
-            assigned_at.is_some_and(|assigned_at| now < *assigned_at + lifetime)
-        };
-        let cached: u32 = job
-            .parts
-            .iter()
-            .take_while(cached)
-            .map(|part| part.tokens)
-            .sum();
-        job.prompt_tokens.saturating_sub(cached)
-    }
-
-    fn record_parts(&mut self, job: &Job, lifetime: Duration, now: Instant) {
-        if self.parts.len() > PARTS_CLEANUP_THRESHOLD {
-            self.parts
-                .retain(|_, assigned_at| now < *assigned_at + lifetime);
-        }
-        for part in &job.parts {
-            self.parts.insert(part.digest, now);
-        }
-    }
-}
-
 /// Waiting requests, and what each replica has been assigned.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -143,23 +80,8 @@
     overloads: Overloads,
     /// Paces of the replicas of uneven services.
     pub paces: Paces,
-}
-
-/// A job that was assigned to a replica and has not ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunningJob {
-    /// Replica that runs it.
-    pub replica: id::Upstream,
-    /// Host of its gateway.
-    pub host: id::Host,
-    /// Adapter that it uses; `None` for the base model alone.
-    pub adapter: Option<String>,
-    /// Its shareable prompt parts and its digest, which may be suspected to crash replicas.
-    pub keys: Vec<Key>,
-    /// Whether its answer is a stream that may be taken up when it breaks off.
-    pub is_resumable: bool,
-    /// When the job was assigned.
-    pub assigned_at: Instant,
+    /// Lengths of the outputs of uneven services.
+    lengths: Lengths,
 }
 
 impl Scheduler {
@@ -174,6 +96,7 @@
             running: BTreeMap::new(),
             overloads: Overloads::default(),
             paces: Paces::default(),
+            lengths: Lengths::default(),
         }
     }
 
@@ -186,6 +109,8 @@
             let fill = load.map_or(0.0, ReplicaLoad::fill);
             self.paces
                 .record_shown(service, replica, event_ms, fill, now);
+            self.lengths
+                .record(service, streams.events, streams.output_tokens);
         }
         let was_slow = self.paces.was_slow(replica, now);
         let prompt_rate = self.prompt_rate(service, now);
@@ -372,7 +297,7 @@
                 }
                 Ruling::Trial | Ruling::Wait | Ruling::Barred => None,
             };
-            if let Some((cost, chosen)) = candidate {
+            if let Some(((cost, pace), chosen)) = candidate {
                 let adapter = job.adapter.clone();
                 self.overloads.count_assigned(&job.service);
                 if let Some(service) = late_service {
@@ -385,11 +310,13 @@
                     replica: chosen.name.clone(),
                     adapter,
                     version: chosen.version,
-                    cost_ms: cost as u64,
+                    cost,
+                    pace,
                     holders: found.len(),
                     is_trial: ruling == Ruling::Trial,
                 });
             } else if now >= job.refuse_at
+                || self.is_out_of_reach(job, now)
                 || self.overloads.is_hopeless(
                     job,
                     *passed_over.get(&job.service).unwrap_or(&0),
@@ -470,12 +397,10 @@
         candidates: impl Iterator<Item = &'a Candidate>,
         prompt_rate: &PromptRate,
         now: Instant,
-    ) -> Option<(f64, &'a Candidate)> {
+    ) -> Option<((Cost, Estimate), &'a Candidate)> {
         candidates
-            .filter_map(|candidate| {
-                Some((self.cost_ms(job, candidate, prompt_rate, now)?, candidate))
-            })
-            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .filter_map(|candidate| Some((self.cost(job, candidate, prompt_rate, now)?, candidate)))
+            .min_by(|((left, _), _), ((right, _), _)| left.total().total_cmp(&right.total()))
     }
 
     /// The candidate with the fewest open requests, with its cost; `None` if none can take the job
@@ -486,25 +411,23 @@
         candidates: impl Iterator<Item = &'a Candidate>,
         prompt_rate: &PromptRate,
         now: Instant,
-    ) -> Option<(f64, &'a Candidate)> {
+    ) -> Option<((Cost, Estimate), &'a Candidate)> {
         candidates
-            .filter_map(|candidate| {
-                Some((self.cost_ms(job, candidate, prompt_rate, now)?, candidate))
-            })
+            .filter_map(|candidate| Some((self.cost(job, candidate, prompt_rate, now)?, candidate)))
             .min_by_key(|(_, candidate)| {
                 candidate.unscheduled_requests + self.running_on(&candidate.name)
             })
     }
 
-    /// Estimated milliseconds until a replica has processed a job's prompt, plus penalties for
-    /// another zone and for load; `None` while the replica cannot take the job.
-    fn cost_ms(
+    /// What it costs to run a job at a replica, and the replica's pace; `None` while it cannot take
+    /// the job.
+    fn cost(
         &self,
         job: &Job,
         candidate: &Candidate,
         prompt_rate: &PromptRate,
         now: Instant,
-    ) -> Option<f64> {
+    ) -> Option<(Cost, Estimate)> {
         let idle = ReplicaLoad::new(now);
         let load = self.loads.get(&candidate.name).unwrap_or(&idle);
         let open = candidate.unscheduled_requests + load.jobs.len() as u32;
@@ -519,26 +442,70 @@
         if f64::from(open + 1) > most {
             return None;
         }
-        let used: u32 = load.jobs.values().sum();
+        let used = load.jobs.values().map(|memory| memory.reserved);
+        let used = used.fold(0, u32::saturating_add);
         let capacity = f64::from(candidate.token_capacity) * self.config.capacity_share;
         let needed = f64::from(used + job.prompt_tokens + job.max_output_tokens);
         if candidate.token_capacity > 0 && needed > capacity && !load.jobs.is_empty() {
             return None;
         }
         let pace = self.pace(job, &candidate.name, now);
-        let prompt_rate = prompt_rate.at_pace(pace.now);
-        let uncached = f64::from(load.uncached_tokens(job, self.config.prefix_lifetime, now));
-        let backlog = load.backlog_at(prompt_rate.tokens_per_ms(), now);
-        if backlog > 0.0 && backlog + uncached > prompt_rate.burst_tokens() {
+        let rate = prompt_rate.at_pace(pace.now);
+        let uncached = f64::from(load.uncached_tokens(job, candidate.token_capacity, now));
+        let backlog = load.backlog_at(rate.tokens_per_ms(), now);
+        if backlog > 0.0 && backlog + uncached > rate.burst_tokens() {
             return None;
         }
-        let zone_cost = if candidate.zone == job.zone {
-            0.0
-        } else {
-            CROSS_ZONE_COST_MS
+        let fill = f64::from(open) / slots;
+        let offer = Offer {
+            wait_ms: backlog / prompt_rate.tokens_per_ms(),
+            read_ms: uncached / prompt_rate.tokens_per_ms(),
+            event_ms: self.paces.event_ms(&job.service, fill).unwrap_or(0.0),
+            fill,
+            pace,
+            is_near: candidate.zone == job.zone,
+        };
+        if !self.paces.is_uneven(&job.service, now) {
+            return Some((offer.even_cost(), pace));
+        }
+        let need = self.need(job, now);
+        offer.fits(&need).then(|| (offer.cost(&need), pace))
+    }
+
+    /// What a job has time for.
+    fn need(&self, job: &Job, now: Instant) -> Need {
+        let ms = |time: Duration| time.as_secs_f64() * 1000.0;
+        let left = |until: Instant| ms(until.saturating_duration_since(now));
+        Need {
+            objective_ms: left(job.objective),
+            deadline_ms: job.deadline.map(left),
+            gap_ms: job.max_gap.map(ms),
+            events: self.lengths.events(&job.service, job.output_tokens),
+        }
+    }
+
+    /// Whether not even an empty replica of the fastest pace can finish a job before its caller leaves.
+    fn is_out_of_reach(&self, job: &Job, now: Instant) -> bool {
+        if job.deadline.is_none() || !self.paces.is_uneven(&job.service, now) {
+            return false;
+        }
+        let fastest = self.paces.fastest(now);
+        let offer = Offer {
+            wait_ms: 0.0,
+            read_ms: 0.0,
+            event_ms: self.paces.event_ms(&job.service, 0.0).unwrap_or(0.0),
+            fill: 0.0,
+            pace: Estimate {
+                now: fastest,
+                lasting: fastest,
+                ..Estimate::USUAL
+            },
+            is_near: true,
         };
-        let fill_cost = f64::from(open) / slots * FULL_REPLICA_COST_MS * pace.lasting;
-        Some((backlog + uncached) / prompt_rate.tokens_per_ms() + zone_cost + fill_cost)
+        let need = self.need(job, now);
+        let needed = offer.first_ms() + offer.output_ms(need.events);
+        need.deadline_ms
+            .is_some_and(|left| needed * HOPELESS_SHARE > left)
     }
 
     /// Expected pace of a replica.
@@ -554,7 +521,7 @@
         let Some(job) = self.remove(number) else {
             return;
         };
-        let lifetime = self.config.prefix_lifetime;
+        let capacity = candidate.token_capacity;
         let pace = self.pace(&job, replica, now);
         let prompt_rate = self.prompt_rate(&job.service, now);
         let tokens_per_ms = prompt_rate.at_pace(pace.now).tokens_per_ms();
@@ -562,13 +529,11 @@
             .loads
             .entry(replica.to_owned())
             .or_insert_with(|| ReplicaLoad::new(now));
-        let uncached = f64::from(load.uncached_tokens(&job, lifetime, now));
+        let uncached = f64::from(load.uncached_tokens(&job, capacity, now));
         load.backlog = load.backlog_at(tokens_per_ms, now) + uncached;
         load.updated_at = now;
         load.slots = candidate.slots;
-        load.jobs
-            .insert(number, job.prompt_tokens + job.max_output_tokens);
-        load.record_parts(&job, lifetime, now);
+        load.add(&job, capacity, now);
         let running = RunningJob {
             replica: replica.to_owned(),
             host: job.host,
