gateway: one budget of memory for bodies, and a bound on callers' connections

Cause: read_body collected each caller's body without a bound on all of them, and kept a Bytes (which pins a read buffer) for each chunk; nothing closed connections without a request, so they took every descriptor. A length over the limit was read up to the limit. Change: budget (a pure ledger, and leases that give back when dropped) counts what is held of requests until they end and of responses until their callers have taken them: a quarter of the host's memory, as [host] memory says. When it is short, unfinished bodies are given up: those of the address that holds most, stalled ones first, then the oldest. Small requests may go an eighth beyond. callers (a pure register) bounds connections by half of [host] descriptors and by memory; for a new one it closes one that is idle or whose first head is unfinished, then one whose body is unfinished. Refusals are 503 with Retry-After 1 s before anything ran, or 413 at once for an announced length; both close the connection. Bodies of responses join the budget; check_body of tests.rs holds the same cases against it.

--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -103,6 +103,10 @@
     BRITTLE_NAMED = 515, Info;
     /// An upstream says no more that it is brittle.
     BRITTLE_ENDED = 516, Info;
+    /// Bodies of callers were refused for want of memory.
+    MEMORY_SHORT = 540, Warn;
+    /// Connections of callers were closed for others.
+    CONNECTIONS_SHORT = 541, Warn;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/body_buffer.rs
+++ b/crates/tanagershift/src/gateway/body_buffer.rs
@@ -1,94 +1,123 @@
-//! Bodies of responses that are held while they arrive.
+//! Bodies of requests and responses that are held while they arrive.
 //!
-//! All bodies together are bounded, since upstreams may send bytes without end. A body grows by segments
-//! of one size: a contiguous buffer that doubles needs three times its size while it is copied, and
-//! leaves gaps that the allocator cannot reuse for the next one.
-
-use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+//! All bodies together are bounded by the host's budget, since both sides may send bytes without end. A
+//! body grows by segments: a contiguous buffer that doubles needs three times its size while it is
+//! copied, and leaves gaps that the allocator cannot reuse for the next one. Received pieces are copied,
+//! since a small one may keep a whole read buffer alive.
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-/// Largest body.
-const MAX_BODY_BYTES: usize = 32 << 20;
-/// Most bytes of all bodies together.
-const MAX_TOTAL_BYTES: usize = 32 << 20;
-/// Size of a segment.
+use super::budget::{Lease, Refusal};
+
+/// Largest segment.
 const SEGMENT_BYTES: usize = 64 << 10;
+/// Smallest segment after the first.
+const MIN_SEGMENT_BYTES: usize = 1 << 10;
 
-/// A body that is arriving. Its bytes count towards those of all bodies until it is dropped.
+/// A body that is arriving. It holds its part of the budget until it and all bytes that were made of it
+/// are dropped.
 #[derive(Debug)]
-pub struct Buffer<'a> {
-    total: &'a AtomicUsize,
+pub struct Buffer {
+    lease: Lease,
     count: usize,
     segments: Vec<BytesMut>,
 }
 
-impl<'a> Buffer<'a> {
-    /// Creates an empty body; `total` counts the bytes of all bodies.
-    pub fn new(total: &'a AtomicUsize) -> Self {
+/// A whole body and its part of the budget.
+struct Held {
+    bytes: Bytes,
+    _lease: Lease,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Buffer {
+    /// Creates an empty body.
+    pub fn new(lease: Lease) -> Self {
         Self {
-            total,
+            lease,
             count: 0,
             segments: Vec::new(),
         }
     }
 
+    /// Bytes that have arrived.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether nothing has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Waits until the body is given up for others.
+    pub async fn given_up(&mut self) {
+        self.lease.given_up().await;
+    }
+
     /// Appends bytes.
     ///
     /// # Errors
     ///
-    /// This body, or all bodies together, would be too large.
-    pub fn push(&mut self, mut data: &[u8]) -> Result<(), &'static str> {
-        self.count += data.len();
-        let total = self.total.fetch_add(data.len(), Relaxed) + data.len();
-        if total > MAX_TOTAL_BYTES {
-            return Err("the answers in memory are too large");
-        }
-        if self.count > MAX_BODY_BYTES {
-            return Err("the answer is too large");
-        }
+    /// The budget has no room for them.
+    pub async fn push(&mut self, mut data: &[u8]) -> Result<(), Refusal> {
         while !data.is_empty() {
-            let segment = self.segment(data.len());
+            let segment = self.segment(data.len()).await?;
             let room = segment.capacity() - segment.len();
             let (now, rest) = data.split_at(room.min(data.len()));
             segment.put_slice(now);
+            self.count += now.len();
             data = rest;
         }
         Ok(())
     }
 
     /// The last segment, or a new one if that is full; `wanted` bytes follow.
-    fn segment(&mut self, wanted: usize) -> &mut BytesMut {
+    async fn segment(&mut self, wanted: usize) -> Result<&mut BytesMut, Refusal> {
         let is_full = |segment: &BytesMut| segment.len() == segment.capacity();
         if self.segments.last().is_none_or(is_full) {
             // Most bodies are small and come in one piece.
             let size = match self.segments.is_empty() {
-                true => wanted.min(SEGMENT_BYTES),
-                false => SEGMENT_BYTES,
+                true => wanted,
+                false => wanted.max(self.count).max(MIN_SEGMENT_BYTES),
             };
+            let size = size.min(SEGMENT_BYTES);
+            self.lease.grow(size).await?;
             self.segments.push(BytesMut::with_capacity(size));
         }
         let last = self.segments.len() - 1;
-        &mut self.segments[last]
+        Ok(&mut self.segments[last])
     }
 
     /// The whole body.
-    pub fn into_bytes(mut self) -> Bytes {
-        let segments = std::mem::take(&mut self.segments);
-        let mut segments = segments.into_iter();
-        if segments.len() <= 1 {
-            return segments.next().unwrap_or_default().freeze();
-        }
-        let mut whole = BytesMut::with_capacity(self.count);
-        for segment in segments {
-            whole.put(segment);
+    ///
+    /// # Errors
+    ///
+    /// It was given up before.
+    pub fn into_bytes(mut self) -> Result<Bytes, Refusal> {
+        self.lease.complete(self.count)?;
+        if self.count == 0 {
+            return Ok(Bytes::new());
         }
-        whole.freeze()
-    }
-}
-
-impl Drop for Buffer<'_> {
-    fn drop(&mut self) {
-        self.total.fetch_sub(self.count, Relaxed);
+        let mut segments = self.segments.into_iter();
+        let bytes = match segments.len() {
+            1 => segments.next().unwrap_or_default().freeze(),
+            _ => {
+                let mut whole = BytesMut::with_capacity(self.count);
+                for segment in segments {
+                    whole.put(segment);
+                }
+                whole.freeze()
+            }
+        };
+        Ok(Bytes::from_owner(Held {
+            bytes,
+            _lease: self.lease,
+        }))
     }
 }
--- a/crates/tanagershift/src/gateway/daemon.rs
+++ b/crates/tanagershift/src/gateway/daemon.rs
@@ -9,8 +9,8 @@
 };
 
 use super::{
-    Gateway, background::BackgroundTasks, control::Control, dialect::Dialect, hub, server,
-    settings::Config, tunnel,
+    Gateway, background::BackgroundTasks, budget, callers, control::Control, dialect::Dialect, hub,
+    server, settings::Config, tunnel,
 };
 use crate::{
     daemon::{Error, listen},
@@ -86,6 +86,10 @@
             config.version_bound,
         );
         gateway.pool.source = config.upstream_source;
+        let (memory, descriptors) = (settings.host.memory, settings.host.descriptors);
+        gateway.memory = budget::Shared::new(budget::share_of(memory));
+        let most_callers = callers::most_connections(descriptors, memory);
+        gateway.callers = callers::Shared::new(most_callers);
         let gateway = Arc::new(gateway);
         let voter = start_voter(&settings, &pool, &leader, seeds)?;
         let hub = voter.as_ref().map(|voter| {
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -4,22 +4,20 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER},
     http::request,
 };
-use tokio::time::{Duration, Instant, timeout, timeout_at};
+use tokio::time::{Duration, Instant, timeout_at};
 
 use super::{
     Gateway,
-    body_buffer::Buffer,
+    bodies::{read_body, read_upstream_body},
+    callers::{self, Phase},
     configuration::{Configuration, Limits, Route, RouteKind},
-    exchange::{
-        FailedAttempt, Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, exchange, may_abandon,
-    },
+    exchange::{FailedAttempt, Job, Resumption, UpstreamResponse, exchange},
     quarantine::{
         CONVICTED_REASON, CONVICTED_RETRY_AFTER, SUSPECTED_REASON, Standing, request_digest,
         request_keys,
@@ -45,8 +43,6 @@
 pub const STARTUP_WAIT: Duration = Duration::from_millis(900);
 /// Time after the start of a host from which requests do not wait for its first configuration.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
-/// Longest time for a request body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why the gateway answers a request itself instead of relaying an upstream's response.
 #[derive(Debug)]
@@ -57,14 +53,17 @@
     pub reason: String,
     /// Value of the `Retry-After` header; `None` leaves the header out.
     pub retry_after: Option<Duration>,
+    /// Whether the connection is closed, since the request may not have been read to its end.
+    pub closes_connection: bool,
 }
 
 impl Rejection {
-    fn new(status: StatusCode, reason: impl Into<String>) -> Self {
+    pub(super) fn new(status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
             status,
             reason: reason.into(),
             retry_after: None,
+            closes_connection: false,
         }
     }
 
@@ -74,6 +73,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason: reason.into(),
             retry_after: Some(DEFAULT_RETRY_AFTER),
+            closes_connection: false,
         }
     }
 
@@ -141,6 +141,7 @@
 /// The request is rejected: no upstream's response can be relayed.
 pub async fn handle_request(
     gateway: &Arc<Gateway>,
+    caller: &callers::Guard,
     request: Request<Incoming>,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Rejection> {
@@ -152,9 +153,11 @@
         None => {
             // Callers give up on a request that is not read, so it is read before the wait.
             let limit = Limits::default().max_body_bytes;
-            let read = read_body(&mut body, limit)
-                .await
-                .map_err(|rejection| Rejection::retry_later(rejection.reason))?;
+            let read = read_body(gateway, caller, &mut body, limit).await;
+            let read = read.map_err(|rejection| Rejection {
+                closes_connection: true,
+                ..Rejection::retry_later(rejection.reason)
+            })?;
             let wait_until = received_at + startup_wait(gateway, &head);
             (await_configuration(gateway, wait_until).await?, Some(read))
         }
@@ -167,8 +170,14 @@
         .map_err(|malformed| Rejection::new(StatusCode::BAD_REQUEST, malformed.0))?;
     let body = match read {
         Some(read) => read,
-        None => read_body(&mut body, configuration.limits.max_body_bytes).await?,
+        None => {
+            let limit = configuration.limits.max_body_bytes;
+            read_body(gateway, caller, &mut body, limit).await?
+        }
     };
+    if !caller.begin(Phase::Serving) {
+        return Err(Rejection::no_room("the connection is closed for others"));
+    }
     let limit = caller_head
         .timeout
         .map_or(route.timeout, |timeout| timeout.min(route.timeout));
@@ -241,25 +250,6 @@
     })
 }
 
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Rejection> {
-    let read = Limited::new(body, limit).collect();
-    match timeout(BODY_TIMEOUT, read).await {
-        Err(_) => Err(Rejection::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-        )),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Rejection::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        )),
-        Ok(Err(_)) => Err(Rejection::new(
-            StatusCode::BAD_REQUEST,
-            "the body did not arrive whole",
-        )),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-    }
-}
-
 async fn serve(
     gateway: &Arc<Gateway>,
     job: Job,
@@ -351,32 +341,6 @@
     Ok(response)
 }
 
-/// Reads the body of an upstream's response until its end.
-async fn read_upstream_body(
-    gateway: &Gateway,
-    job: &Job,
-    response: &mut UpstreamResponse,
-) -> Result<Bytes, String> {
-    let is_abandoned = may_abandon(job, &response.connection);
-    let read = async {
-        let mut buffer = Buffer::new(&gateway.buffered_bytes);
-        while let Some(frame) = response.body.frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
-            if let Some(data) = frame.data_ref() {
-                buffer.push(data)?;
-                let now = Instant::now();
-                response.progress.record_event(now);
-                response.connection.record_heard(now);
-            }
-        }
-        Ok(buffer.into_bytes())
-    };
-    tokio::select! {
-        body = read => body,
-        () = gateway.kept_dead(&job.service), if is_abandoned => Err(KEPT_DEAD_REASON.to_owned()),
-    }
-}
-
 fn response_without_body(
     gateway: &Gateway,
     upstream_response: &UpstreamResponse,
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -23,6 +23,18 @@
     selected_by: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct HolderLabels {
+    holder: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct OrderLabels {
@@ -37,6 +49,9 @@
     requests: Family<RequestLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     full_upstreams: Family<FullLabels, Counter>,
+    memory_refusals: Family<CauseLabels, Counter>,
+    closed_callers: Family<CauseLabels, Counter>,
+    held_memory: Family<HolderLabels, Gauge>,
     /// Retries that were taken from the retry budget.
     pub retries: Counter,
     /// Seconds that a request waited until the leader assigned it a replica or, without a leader,
@@ -107,6 +122,9 @@
             requests: Family::default(),
             orders: Family::default(),
             full_upstreams: Family::default(),
+            memory_refusals: Family::default(),
+            closed_callers: Family::default(),
+            held_memory: Family::default(),
             retries: Counter::default(),
             replica_wait: Histogram::new(SECONDS),
             first_event: Histogram::new(SECONDS),
@@ -160,6 +178,14 @@
             "Requests that a full upstream rejected, by who had selected it",
             self.full_upstreams.clone(),
         );
+        let help = "Requests refused for want of memory, by cause";
+        let refusals = self.memory_refusals.clone();
+        registry.register("memory_refusals", help, refusals);
+        let help = "Connections of callers closed for others, by what happened on them";
+        registry.register("closed_callers", help, self.closed_callers.clone());
+        let help = "Memory that is held for others";
+        let held = self.held_memory.clone();
+        registry.register_with_unit("held_memory", help, Unit::Bytes, held);
         registry.register("repeats", "Attempts after the first", self.retries.clone());
         let help = "Time that a request waited for its adapter";
         registry.register_with_unit("load_stall", help, Unit::Seconds, self.replica_wait.clone());
@@ -246,6 +272,27 @@
         self.full_upstreams.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was refused for want of memory.
+    pub fn count_memory_refusal(&self, cause: &'static str) {
+        self.memory_refusals
+            .get_or_create(&CauseLabels { cause })
+            .inc();
+    }
+
+    /// Counts a caller's connection that was closed for others.
+    pub fn count_closed_caller(&self, cause: &'static str) {
+        self.closed_callers
+            .get_or_create(&CauseLabels { cause })
+            .inc();
+    }
+
+    /// Sets the memory that is held for something.
+    pub fn set_held_memory(&self, holder: &'static str, bytes: usize) {
+        let labels = HolderLabels { holder };
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.held_memory.get_or_create(&labels).set(bytes);
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -22,7 +22,11 @@
 //! * `upstream_list`: reads the list page by page.
 //! * `answer_end`: whether answers that end with their connections are whole.
 //! * `continuation`: what may follow within an answer that broke off.
-//! * `body_buffer`: bodies of responses while they arrive.
+//! * `budget`: one budget of memory for all that the host holds for others.
+//! * `bodies`: reads bodies as far as the budget allows.
+//! * `body_buffer`: bodies of requests and responses while they arrive.
+//! * `callers`: bounds callers' connections.
+//! * `pressure`: logs and counts what is refused for want of memory or connections.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
@@ -30,7 +34,10 @@
 pub mod answer_end;
 pub mod ask;
 pub mod background;
+pub mod bodies;
 pub mod body_buffer;
+pub mod budget;
+pub mod callers;
 pub mod choose;
 pub mod client;
 pub mod compression;
@@ -58,6 +65,7 @@
 pub mod overload;
 pub mod patch;
 pub mod placement;
+pub mod pressure;
 pub mod progress;
 pub mod prompt_rate;
 pub mod quarantine;
@@ -86,7 +94,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -103,6 +111,7 @@
 use exchange::Job;
 use forward::{Rejection, Trace};
 use metrics::Metrics;
+use pressure::Pressure;
 use progress::Progress;
 use quarantine::Register;
 use relay::StreamTiming;
@@ -154,8 +163,11 @@
     pub configured: watch::Sender<bool>,
     /// When the process started.
     pub started_at: Instant,
-    /// Bytes of responses that are held while they arrive.
-    pub buffered_bytes: AtomicUsize,
+    /// Memory that is held for others.
+    pub memory: budget::Shared,
+    /// Connections of callers.
+    pub callers: callers::Shared,
+    pressure: Pressure,
     view: Mutex<View>,
     budget: Mutex<RetryBudget>,
     quarantine: Mutex<Register>,
@@ -193,7 +205,9 @@
             answer_until: watch::Sender::new(None),
             configured: watch::Sender::new(false),
             started_at: Instant::now(),
-            buffered_bytes: AtomicUsize::new(0),
+            memory: budget::Shared::default(),
+            callers: callers::Shared::default(),
+            pressure: Pressure::default(),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
             quarantine: Mutex::default(),
--- a/crates/tanagershift/src/gateway/relay.rs
+++ b/crates/tanagershift/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::{
-    Gateway,
+    Gateway, callers,
     continuation::Promise,
     event_stream::EventSplitter,
     exchange::{Job, KEPT_DEAD_REASON, Resumption, UpstreamResponse, may_abandon},
@@ -32,8 +32,8 @@
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum Body {
-    /// A body that is complete in memory.
-    Full(Full<Bytes>),
+    /// A body that is complete in memory, and the response that it belongs to.
+    Full(Full<Bytes>, Option<callers::Response>),
     /// Events that are relayed as they arrive.
     Stream(Box<Stream>),
 }
@@ -41,7 +41,15 @@
 impl Body {
     /// Makes a body of complete bytes.
     pub fn full(bytes: Bytes) -> Self {
-        Self::Full(Full::new(bytes))
+        Self::Full(Full::new(bytes), None)
+    }
+
+    /// Attaches guards that are dropped together with the body: of the request and of the response.
+    pub fn attach(&mut self, request: impl Send + 'static, response: callers::Response) {
+        match self {
+            Self::Full(_, guard) => *guard = Some(response),
+            Self::Stream(stream) => stream.attach_guard(Box::new((request, response))),
+        }
     }
 
     /// Makes a body of relayed events.
@@ -59,7 +67,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
-            Self::Full(full) => {
+            Self::Full(full, _) => {
                 let frame = ready!(Pin::new(full).poll_frame(context));
                 // The error type has no values: a complete body cannot fail.
                 Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})))
@@ -70,14 +78,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Full(full) => full.is_end_stream(),
+            Self::Full(full, _) => full.is_end_stream(),
             Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(full) => full.size_hint(),
+            Self::Full(full, _) => full.size_hint(),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/tanagershift/src/gateway/server.rs
+++ b/crates/tanagershift/src/gateway/server.rs
@@ -1,6 +1,6 @@
 //! HTTP servers for callers, for the load balancer's readiness probe and for the operators' metrics.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -13,12 +13,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
-    time::{Instant, sleep},
+    sync::{oneshot, watch},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{
-    Gateway, connection,
+    Gateway,
+    callers::{self, Phase},
+    connection,
     forward::{self, Rejection, Trace},
     relay::Body,
 };
@@ -26,6 +28,8 @@
 
 /// Delay before the next accept after one has failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest time for the end of a response to be written on a connection that is closed for others.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Smallest read buffer that hyper accepts.
 const MIN_READ_BUFFER_BYTES: usize = 8192;
 /// Buffer space for the request line, in addition to the headers.
@@ -39,11 +43,25 @@
             _ = stop.wait_for(|stop| *stop) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_caller(gateway.clone(), stream, stop.clone()));
+            Ok((stream, caller)) => {
+                let admitted = tokio::select! {
+                    admitted = admit(&gateway, caller.ip()) => admitted,
+                    _ = stop.wait_for(|stop| *stop) => return,
+                };
+                // A connection that is not admitted is closed here.
+                if let Some(connection) = admitted {
+                    tokio::spawn(serve_caller(
+                        gateway.clone(),
+                        stream,
+                        connection,
+                        stop.clone(),
+                    ));
+                }
             }
             Err(error) => {
                 emit!(ACCEPT_FAILED, "{error}");
+                // The cause may be that no descriptor is left.
+                gateway.callers.give_up_one();
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -66,7 +84,25 @@
     }
 }
 
-async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+/// A counted connection, and what tells it that it must close.
+type Admitted = (callers::Guard, oneshot::Receiver<Phase>);
+
+/// Counts a new connection, for which others may have to close.
+async fn admit(gateway: &Gateway, caller: IpAddr) -> Option<Admitted> {
+    let admitted = gateway.callers.open(caller).await;
+    if admitted.is_none() {
+        gateway.record_closed_caller("refused");
+    }
+    admitted
+}
+
+async fn serve_caller(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    (connection, must_close): Admitted,
+    mut stop: watch::Receiver<bool>,
+) {
+    let caller = Arc::new(connection);
     let _guard = ConnectionGuard::new(gateway.clone());
     // A connection without the options works, only slower.
     let _ = connection::set_socket_options(&stream);
@@ -77,9 +113,10 @@
             configuration.limits.clone()
         })
     };
+    let handler = gateway.clone();
     let service = service_fn(move |request| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(handle_request(gateway, request).await) }
+        let (gateway, caller) = (handler.clone(), caller.clone());
+        async move { Ok::<_, Infallible>(handle_request(gateway, caller, request).await) }
     });
     // hyper measures the wait for a request and the arrival of its head with one timer, so the
     // longer of both limits applies.
@@ -89,10 +126,21 @@
         .max_buf_size((limits.max_head_bytes + REQUEST_LINE_BYTES).max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
-    tokio::select! {
+    let closed_for_others = tokio::select! {
+        biased;
+        Ok(phase) = must_close => Some(phase),
         // The caller disconnected or violated the protocol; there is nothing left to do.
         _ = served.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => {}
+        _ = stop.wait_for(|stop| *stop) => None,
+    };
+    if let Some(phase) = closed_for_others {
+        gateway.record_closed_caller(phase.as_str());
+        if phase == Phase::Idle {
+            // The end of the last response may still wait to be written.
+            served.as_mut().graceful_shutdown();
+            let _ = timeout(CLOSE_TIMEOUT, served).await;
+        }
+        return;
     }
     served.as_mut().graceful_shutdown();
     let _ = served.await;
@@ -137,7 +185,11 @@
     }
 }
 
-async fn handle_request(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(
+    gateway: Arc<Gateway>,
+    caller: Arc<callers::Guard>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let guard = OpenRequestGuard::new(gateway.clone());
     let began = Instant::now();
     // The end of a request with both a content length and a transfer encoding is ambiguous. The
@@ -152,26 +204,28 @@
         answered: false,
     };
     let mut trace = Trace::default();
+    // If the connection must close, the request is refused before it runs.
+    caller.begin(Phase::Receiving);
     let handled = tokio::select! {
-        result = forward::handle_request(&gateway, request, &mut trace) => Some(result),
+        result = forward::handle_request(&gateway, &caller, request, &mut trace) => Some(result),
         () = gateway.answers_are_due() => None,
     };
     let result = handled.unwrap_or_else(|| Err(Rejection::host_stops(&trace)));
     disconnect_logger.answered = true;
-    let mut response = match result {
-        Ok(response) => response,
+    let (mut response, is_unread) = match result {
+        Ok(response) => (response, false),
         Err(rejection) => {
             gateway.log_rejection(&id, &rejection, &trace, began.elapsed());
-            rejection.response()
+            (rejection.response(), rejection.closes_connection)
         }
     };
-    if chunked || gateway.is_draining() || may_leave_body_unread(response.status()) {
+    let is_unread = is_unread || may_leave_body_unread(response.status());
+    if chunked || gateway.is_draining() || is_unread {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    if let Body::Stream(stream) = response.body_mut() {
-        stream.attach_guard(Box::new(guard));
-    }
+    let answering = callers::Response::new(caller);
+    response.body_mut().attach(guard, answering);
     response
 }
 
@@ -231,6 +285,7 @@
     use warp::Filter;
     let metrics = warp::path!("metrics").map(move || {
         let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        gateway.measure_memory();
         warp::reply::with_header(gateway.metrics.render(), "content-type", content_type)
     });
     let live = warp::path!("healthz").map(|| String::from("ok\n"));
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -1,16 +1,14 @@
 //! Unit tests of bodies that arrive, event splitting, compression and patches of configurations, routes, the retry
 //! budget and the selection of upstreams.
 
-use std::{
-    sync::atomic::{AtomicUsize, Ordering::Relaxed},
-    time::Duration,
-};
+use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::Instant;
+use tokio::{runtime, time::Instant};
 
 use super::{
     body_buffer::Buffer,
+    budget::{self, Holder},
     choose::{Choice, Requirements, choose},
     configuration::{Configuration, ConfigurationError, Limits, Route, RouteKind, Service, Target},
     event_stream::EventSplitter,
@@ -23,22 +21,29 @@
 use crate::{admission::Origin, testing::cases};
 
 fn check_body(pieces: &[usize], held_elsewhere: usize, is_taken: bool) {
-    let total = AtomicUsize::new(held_elsewhere);
-    let mut buffer = Buffer::new(&total);
+    let runtime = runtime::Builder::new_current_thread().build().unwrap();
+    runtime.block_on(receive_body(pieces, held_elsewhere, is_taken));
+}
+
+async fn receive_body(pieces: &[usize], held_elsewhere: usize, is_taken: bool) {
+    let memory = budget::Shared::new(32 << 20);
+    let mut elsewhere = memory.open(Holder::Response, None);
+    elsewhere.grow(held_elsewhere).await.unwrap();
+    let mut buffer = Buffer::new(memory.open(Holder::Response, None));
     let mut expected = Vec::new();
     let mut taken = true;
     for (number, length) in pieces.iter().enumerate() {
         let piece = vec![number as u8; *length];
-        taken &= buffer.push(&piece).is_ok();
+        taken &= buffer.push(&piece).await.is_ok();
         expected.extend(piece);
     }
     assert_eq!(taken, is_taken);
     if taken {
-        assert_eq!(buffer.into_bytes(), expected);
+        assert_eq!(buffer.into_bytes().unwrap(), expected);
     } else {
         drop(buffer);
     }
-    assert_eq!(total.load(Relaxed), held_elsewhere);
+    assert_eq!(memory.held(Holder::Response), held_elsewhere);
 }
 
 cases! { check_body {
--- a/crates/tanagershift/src/settings.rs
+++ b/crates/tanagershift/src/settings.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use nix::sys::resource::{Resource, getrlimit};
+
 use crate::{
     catalog::check_name,
     entry, gateway, holder, id,
@@ -15,6 +17,10 @@
     voter::{lease, permit},
 };
 
+/// Least memory that a host can be told, in bytes.
+const MIN_MEMORY: usize = 32 << 20;
+/// Least number of descriptors that a host can be told.
+const MIN_DESCRIPTORS: usize = 64;
 /// Largest settings file in bytes.
 const FILE_LIMIT: u64 = 1 << 20;
 
@@ -58,6 +64,10 @@
     pub drain: Duration,
     /// Time for the balancer to see that the host is not ready.
     pub balancer: Duration,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
 }
 
 /// The group of voters, as every host sees it.
@@ -219,6 +229,20 @@
     text.split(',').map(|part| address(part.trim())).collect()
 }
 
+fn at_least(number: usize, least: usize) -> Result<usize, String> {
+    match number >= least {
+        true => Ok(number),
+        false => Err(format!("must be at least {least}")),
+    }
+}
+
+/// Descriptors that the operating system lets this process open.
+fn descriptor_limit() -> usize {
+    let limit = getrlimit(Resource::RLIMIT_NOFILE).ok();
+    let limit = limit.and_then(|(soft, _)| usize::try_from(soft).ok());
+    limit.unwrap_or(gateway::callers::DEFAULT_DESCRIPTORS)
+}
+
 fn percent(text: &str) -> Result<u32, String> {
     match text.strip_suffix('%').and_then(|text| text.parse().ok()) {
         Some(number) if number < 50 => Ok(number),
@@ -237,6 +261,8 @@
             token_file: None,
             drain: Duration::from_secs(120),
             balancer: Duration::from_secs(2),
+            memory: gateway::budget::DEFAULT_MEMORY,
+            descriptors: descriptor_limit(),
         };
         let path = |text: &str| ini::text(text).map(|text| Some(PathBuf::from(text)));
         let bound = |text: &str| address(text).map(Some);
@@ -244,6 +270,14 @@
         section.read("token-file", &mut host.token_file, path)?;
         section.read("drain", &mut host.drain, ini::duration)?;
         section.read("balancer", &mut host.balancer, ini::duration)?;
+        section.read("memory", &mut host.memory, |text| {
+            let memory = ini::size(text)?;
+            at_least(memory, MIN_MEMORY)
+        })?;
+        section.read("descriptors", &mut host.descriptors, |text| {
+            let descriptors = ini::count(text)?;
+            at_least(descriptors, MIN_DESCRIPTORS)
+        })?;
         let mut private = false;
         section.read("private-network", &mut private, ini::flag)?;
         if host.token_file.is_none() && !private && !host.peer.ip().is_loopback() {
