--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -107,6 +107,10 @@
     STORE_RESUMED = 530, Info;
     /// A leader may send orders to replicas again.
     ORDERS_RESUMED = 531, Info;
+    /// Bodies of callers were refused for want of memory.
+    MEMORY_SHORT = 540, Warn;
+    /// Connections of callers were closed for others.
+    CONNECTIONS_SHORT = 541, Warn;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -24,7 +24,11 @@
 //! * `upstream_list`: reads the list page by page.
 //! * `answer_end`: whether answers that end with their connections are whole.
 //! * `continuation`: what may follow within an answer that broke off.
-//! * `body_buffer`: bodies of responses while they arrive.
+//! * `budget`: one budget of memory for all that the host holds for others.
+//! * `bodies`: reads bodies as far as the budget allows.
+//! * `body_buffer`: bodies of requests and responses while they arrive.
+//! * `callers`: bounds callers' connections.
+//! * `pressure`: logs and counts what is refused for want of memory or connections.
 //! * `progress`: times of one attempt.
 //! * `control`: serves operators' requests.
 //! * `daemon`: starts all parts and shuts them down.
@@ -36,7 +40,10 @@
 pub mod answer_end;
 pub mod ask;
 pub mod background;
+pub mod bodies;
 pub mod body_buffer;
+pub mod budget;
+pub mod callers;
 pub mod choose;
 pub mod client;
 pub mod compression;
@@ -73,6 +80,7 @@
 mod pace_tests;
 pub mod patch;
 pub mod placement;
+pub mod pressure;
 pub mod progress;
 pub mod prompt_cache;
 #[cfg(test)]
@@ -108,7 +116,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -125,6 +133,7 @@
 use exchange::Job;
 use forward::{Rejection, Trace};
 use metrics::Metrics;
+use pressure::Pressure;
 use progress::Progress;
 use quarantine::Register;
 use relay::StreamTiming;
@@ -178,8 +187,11 @@
     pub started_at: Instant,
     /// Time after an earlier leader's last order before which another one sends none.
     pub order_silence: Duration,
-    /// Bytes of responses that are held while they arrive.
-    pub buffered_bytes: AtomicUsize,
+    /// Memory that is held for others.
+    pub memory: budget::Shared,
+    /// Connections of callers.
+    pub callers: callers::Shared,
+    pressure: Pressure,
     view: Mutex<View>,
     budget: Mutex<RetryBudget>,
     quarantine: Mutex<Register>,
@@ -219,7 +231,9 @@
             configured: watch::Sender::new(false),
             started_at: Instant::now(),
             order_silence: settings::DEFAULT_ORDER_SILENCE,
-            buffered_bytes: AtomicUsize::new(0),
+            memory: budget::Shared::default(),
+            callers: callers::Shared::default(),
+            pressure: Pressure::default(),
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
             quarantine: Mutex::default(),
