--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -103,6 +103,10 @@
     BRITTLE_NAMED = 515, Info;
     /// An upstream says no more that it is brittle.
     BRITTLE_ENDED = 516, Info;
+    /// A gateway takes notices more slowly than they come.
+    GATEWAY_BEHIND = 550, Info;
+    /// A gateway that was behind is sent the whole state.
+    GATEWAY_CAUGHT_UP = 551, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -4,11 +4,12 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use prost::Message;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{
     Gateway, compression,
-    message::{List, Mark, Notice, ReachReport, Tally, Watch},
+    message::{List, Mark, Notice, ReachReport, SparseCounts, Tally, Watch},
     quarantine::Standing,
     settings::Config,
     upstream_list,
@@ -29,6 +30,9 @@
 pub const DEFAULT_TALLY_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time between two tallies, also when a request that waits for an adapter triggers one.
 const MIN_TALLY_INTERVAL: Duration = Duration::from_millis(4);
+/// Tallies that may be triggered within one interval. With many hosts the interval is long, so that the
+/// leader's work stays bounded.
+const TALLIES_PER_INTERVAL: u32 = 25;
 /// Time without a notice after which the gateway reads the upstream list itself.
 const LIST_STALE_AFTER: Duration = Duration::from_millis(1500);
 /// Time after the start during which the gateway waits for a leader before it reads the upstream
@@ -65,19 +69,25 @@
     pub async fn watch_leader(self) {
         loop {
             let version = self.version();
+            let list = self.gateway.view().known_list();
             let watch = Body::Watch(Watch {
                 host: self.gateway.host.clone(),
                 session: self.gateway.session,
                 version,
                 address: self.address.clone(),
                 zone: self.gateway.zone.clone(),
+                takes_changes: true,
+                list: list.number,
+                list_digest: list.digest,
             });
             let opened = self
                 .gateway
                 .leader
                 .open(watch, WATCH_TIMEOUT, ATTEMPT_TIMEOUT)
                 .await;
-            if let Some((call, Body::Notice(first))) = opened {
+            if let Some((call, Body::Notice(first))) = opened
+                && let Ok(first) = Notice::decode(first)
+            {
                 log::info!("event=leader.found term={}", first.term);
                 self.gateway.view().begin_watch(Instant::now());
                 self.gateway.quarantine().replace(&first.marks);
@@ -110,7 +120,8 @@
                 (*self.gateway.notice_interval.borrow() * MAX_MISSED_INTERVALS).max(MIN_SILENCE);
             match timeout(silence, call.next()).await {
                 Ok(Ok(Some(Body::Notice(notice)))) => {
-                    if let Err(reason) = self.apply(notice) {
+                    let notice = Notice::decode(notice).map_err(|error| error.to_string());
+                    if let Err(reason) = notice.and_then(|notice| self.apply(notice)) {
                         return reason;
                     }
                 }
@@ -125,10 +136,21 @@
     ///
     /// # Errors
     ///
-    /// If a configuration cannot be decompressed or a patch does not apply. The gateway must then
-    /// open a new watch.
-    fn apply(&self, notice: Notice) -> Result<(), String> {
+    /// If a configuration cannot be decompressed or changes do not apply. The gateway must then open a new
+    /// watch.
+    fn apply(&self, mut notice: Notice) -> Result<(), String> {
         let now = Instant::now();
+        let packed = std::mem::take(&mut notice.packed);
+        if !packed.is_empty() {
+            let fields = compression::decompress(&packed).map_err(|error| error.to_string())?;
+            notice.merge(fields).map_err(|error| error.to_string())?;
+        }
+        if self.gateway.view().lacks_list(&notice) {
+            return Err("the changes start from another list".to_owned());
+        }
+        if notice.is_whole {
+            self.gateway.quarantine().replace(&notice.marks);
+        }
         self.gateway.last_notice_at.send_replace(Some(now));
         if notice.interval_ms > 0 {
             let interval = Duration::from_millis(notice.interval_ms.into());
@@ -137,8 +159,9 @@
         if !notice.voters.is_empty() {
             self.gateway.leader.learn(notice.voters.clone());
         }
+        let list_changed = notice.list.is_some() || notice.list_changes.is_some();
         let residencies_changed =
-            notice.is_snapshot || !notice.residencies.is_empty() || notice.list.is_some();
+            notice.is_snapshot || !notice.residencies.is_empty() || list_changed;
         self.gateway.view().apply(&notice, now);
         self.gateway.apply_departures(&notice.leaving);
         if !notice.helpers.is_empty() {
@@ -211,13 +234,19 @@
             let interval = *self.gateway.notice_interval.borrow();
             let started = Instant::now();
             let _ = timeout(interval, self.gateway.tally_wanted.notified()).await;
-            sleep(MIN_TALLY_INTERVAL.saturating_sub(started.elapsed())).await;
+            let shortest = MIN_TALLY_INTERVAL.max(interval / TALLIES_PER_INTERVAL);
+            sleep(shortest.saturating_sub(started.elapsed())).await;
             let tally = {
                 let mut view = self.gateway.view();
+                let (open, unassigned) = (view.report_open(), view.unassigned_open());
+                let is_sparse = view.is_leader_sparse();
                 Tally {
                     host: self.gateway.host.clone(),
                     session: self.gateway.session,
-                    open: Some(view.report_open()),
+                    open_sparse: is_sparse.then(|| SparseCounts::from(&open)),
+                    unassigned_sparse: is_sparse.then(|| SparseCounts::from(&unassigned)),
+                    open: (!is_sparse).then_some(open),
+                    unassigned: (!is_sparse).then_some(unassigned),
                     demand: view.take_demand(),
                     missing: view.take_missing(),
                     streams: self.gateway.take_stream_counts(),
@@ -230,7 +259,6 @@
                     unreachable: view.take_unreachable(),
                     brittle: view.shares.take_reports(Instant::now()),
                     rejections: view.take_rejections(),
-                    unassigned: Some(view.unassigned_open()),
                     reach: Some(ReachReport {
                         is_cut_off: self.gateway.reach.lock().is_cut_off(),
                         is_draining: self.gateway.is_draining(),
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -44,6 +44,10 @@
 /// connection stays reusable for at least a quarter of the limit.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Addresses with idle connections. Connections to further ones are closed after their request, since each
+/// takes tens of kilobytes.
+const MAX_IDLE_ADDRESSES: usize = 512;
+
 /// Body of a request to an upstream.
 pub type Body = Full<Bytes>;
 
@@ -340,6 +344,9 @@
         let address = connection.address.clone();
         let reusable_until = now + reusable_for;
         let mut all = self.idle();
+        if all.len() >= MAX_IDLE_ADDRESSES && !all.contains_key(&address) {
+            return;
+        }
         all.entry(address).or_default().push(Idle {
             connection,
             idle_since: now,
--- a/crates/tanagershift/src/gateway/hub/actions.rs
+++ b/crates/tanagershift/src/gateway/hub/actions.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use super::{Input, LeaderState};
 use crate::{
@@ -10,6 +10,15 @@
     voter::status::SharedStatus,
 };
 
+/// Reports that are fetched at the same time. A new leader needs those of all replicas; if it fetched them
+/// at once in a large system, its heartbeats would come too late and another host would be elected.
+const MAX_REPORT_FETCHES: usize = 64;
+
+/// Creates the permits to fetch reports.
+pub(super) fn report_permits() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(MAX_REPORT_FETCHES))
+}
+
 /// Sends an order, or asks for a report; the outcome comes back as an input.
 pub(super) fn carry_out(
     gateway: &Arc<Gateway>,
@@ -30,8 +39,14 @@
             let Some(upstream) = find(&replica) else {
                 return;
             };
+            let permits = state.report_permits.clone();
             tokio::spawn(async move {
+                // Fails once this host no longer leads.
+                let Ok(permit) = permits.acquire_owned().await else {
+                    return;
+                };
                 let report = orders::fetch_report(gateway, upstream).await;
+                drop(permit);
                 // Fails only while the process ends, since the hub runs until then.
                 let _ = inputs.send(Input::Reported(term, replica, report)).await;
             });
--- a/crates/tanagershift/src/gateway/hub/concurrency.rs
+++ b/crates/tanagershift/src/gateway/hub/concurrency.rs
@@ -6,7 +6,7 @@
 
 use super::LeaderState;
 use crate::{
-    gateway::message::{Counts, List, Notice, Tally, Upstream},
+    gateway::message::{Counts, List, Notice, SparseCounts, Tally, Upstream},
     id,
 };
 
@@ -68,13 +68,15 @@
             if counts.list != self.list.number {
                 continue;
             }
-            for (at, (sum, count)) in sums.iter_mut().zip(&counts.counts).enumerate() {
+            for (at, count) in counts.iter() {
+                let (Some(sum), Some(upstream)) = (sums.get_mut(at), self.list.upstreams.get(at))
+                else {
+                    continue;
+                };
                 // An older host tells all of its open requests.
-                let assigned = match (told, self.list.upstreams.get(at)) {
-                    (None, Some(upstream)) if *count > 0 => {
-                        self.scheduler.running_of(host, &upstream.name)
-                    }
-                    _ => 0,
+                let assigned = match told {
+                    None => self.scheduler.running_of(host, &upstream.name),
+                    Some(_) => 0,
                 };
                 *sum += count.saturating_sub(assigned);
             }
@@ -85,22 +87,17 @@
 
     /// Moves what the gateways have told of their open requests to a new list.
     pub(super) fn move_counts(&mut self, list: &List) {
-        let places: BTreeMap<&str, usize> = names(&self.list.upstreams).collect();
+        let places: BTreeMap<&str, usize> = names(&list.upstreams).collect();
         let old_number = self.list.number;
-        let moved = |counts: &Counts| {
+        let moved = |counts: &SparseCounts| {
             if counts.list != old_number {
                 return counts.clone();
             }
-            let count = |one: &Upstream| {
-                let at = places.get(one.name.as_str());
-                at.and_then(|at| counts.counts.get(*at))
-                    .copied()
-                    .unwrap_or(0)
+            let place = |(at, count): (usize, u32)| {
+                let name = self.list.upstreams.get(at)?.name.as_str();
+                Some((*places.get(name)?, count))
             };
-            Counts {
-                list: list.number,
-                counts: list.upstreams.iter().map(count).collect(),
-            }
+            SparseCounts::new(list.number, counts.iter().filter_map(place))
         };
         for gateway in self.gateways.values_mut() {
             gateway.open = moved(&gateway.open);
--- a/crates/tanagershift/src/gateway/hub/configuration_history.rs
+++ b/crates/tanagershift/src/gateway/hub/configuration_history.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use prost::Message;
 
 use crate::gateway::{
     compression,
@@ -24,9 +25,8 @@
     text: Bytes,
     /// Texts by version.
     earlier: BTreeMap<u64, Bytes>,
-    /// Patches by the version that they start from, created on first use; `None` if the whole text
-    /// is sent instead.
-    patches: Mutex<HashMap<u64, Option<Patch>>>,
+    /// Encoded notices by the version that they start from, created on first use.
+    notices: Mutex<HashMap<u64, Bytes>>,
 }
 
 impl ConfigurationHistory {
@@ -46,7 +46,7 @@
             document,
             text,
             earlier,
-            patches: Mutex::default(),
+            notices: Mutex::default(),
         })
     }
 
@@ -55,21 +55,32 @@
         self.document.version
     }
 
-    /// Notice that updates a gateway from the version `known`, which is zero if the gateway has no
+    /// Encoded notice that updates a gateway from the version `known`, which is zero if the gateway has no
     /// configuration.
-    pub fn notice(&self, known: u64) -> Notice {
-        let mut patches = self.patches.lock().unwrap_or_else(PoisonError::into_inner);
-        let patch = patches.entry(known).or_insert_with(|| {
-            let old = self.earlier.get(&known)?;
-            let patch = Patch::make(known, old, self.version(), &self.text)?;
-            let smaller = patch.inserted.len() < self.document.text.len();
-            smaller.then_some(patch)
+    pub fn notice(&self, known: u64) -> Bytes {
+        let known = if self.earlier.contains_key(&known) {
+            known
+        } else {
+            0
+        };
+        let mut notices = self.notices.lock().unwrap_or_else(PoisonError::into_inner);
+        let notice = notices.entry(known).or_insert_with(|| {
+            let patch = self.patch_from(known);
+            let notice = Notice {
+                document: patch.is_none().then(|| self.document.clone()),
+                patch,
+                ..Notice::default()
+            };
+            notice.encode_to_vec().into()
         });
-        let document = patch.is_none().then(|| self.document.clone());
-        Notice {
-            document,
-            patch: patch.clone(),
-            ..Notice::default()
-        }
+        notice.clone()
+    }
+
+    /// Patch from an earlier version; `None` if the whole text is sent instead.
+    fn patch_from(&self, known: u64) -> Option<Patch> {
+        let old = self.earlier.get(&known)?;
+        let patch = Patch::make(known, old, self.version(), &self.text)?;
+        let smaller = patch.inserted.len() < self.document.text.len();
+        smaller.then_some(patch)
     }
 }
--- a/crates/tanagershift/src/gateway/hub/helpers.rs
+++ b/crates/tanagershift/src/gateway/hub/helpers.rs
@@ -85,13 +85,14 @@
             if helpers.is_empty() || helpers == watcher.helpers {
                 continue;
             }
-            let notice = self.with_common_fields(Notice {
+            let notice = self.encode(Notice {
                 helpers: helpers.clone(),
                 ..Notice::default()
             });
-            // A gateway whose queue is full is dropped at the next broadcast.
-            let _ = watcher.queue.try_send(notice);
-            self.watchers[at].helpers = helpers;
+            // A gateway that is behind is sent its helpers again when it has caught up.
+            let watcher = &mut self.watchers[at];
+            watcher.send(notice);
+            watcher.helpers = helpers;
         }
     }
 
--- a/crates/tanagershift/src/gateway/hub/limits.rs
+++ b/crates/tanagershift/src/gateway/hub/limits.rs
@@ -52,15 +52,11 @@
                 let permit = Permit {
                     upstream: name.clone(),
                 };
-                let notice = self.with_common_fields(Notice {
+                let notice = Notice {
                     permits: vec![permit],
                     ..Notice::default()
-                });
-                let watcher = self.watchers.iter().find(|watcher| watcher.host == host);
-                // A gateway whose queue is full is dropped at the next broadcast.
-                if let Some(watcher) = watcher {
-                    let _ = watcher.queue.try_send(notice);
-                }
+                };
+                self.send_to(&host, notice);
             }
         }
     }
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -4,6 +4,7 @@
 //! * `actions`: sends the orders of the placement.
 //! * `concurrency`: bounds the open requests at brittle upstreams.
 //! * `configuration_history`: the newest configuration, and patches to it from earlier versions.
+//! * `delivery`: sends notices to the gateways.
 //! * `gateways`: the gateways that the leader knows.
 //! * `helpers`: tells gateways through which hosts they can reach upstreams, and hands over leadership
 //!   where this host cannot.
@@ -17,6 +18,7 @@
 mod actions;
 mod concurrency;
 mod configuration_history;
+mod delivery;
 mod gateways;
 mod helpers;
 mod limits;
@@ -35,13 +37,14 @@
 };
 
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{Semaphore, mpsc, watch},
     task::JoinHandle,
     time::{Instant, sleep_until},
 };
 
 use actions::carry_out;
 use configuration_history::ConfigurationHistory;
+use delivery::Rollout;
 use gateways::{GatewayState, Watcher};
 use helpers::hand_over_if_cut_off;
 use reachability::Checks;
@@ -50,8 +53,9 @@
     Gateway,
     concurrency::Ceilings,
     dialect::{OrderOutcome, Report},
+    fleet::{backlog::Backlog, counts::ToldCounts},
     limit::Limits,
-    message::{Ask, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
+    message::{Ask, Key, List, Mark, Notice, Tally, Upstream, Watch},
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
@@ -158,6 +162,8 @@
     unscheduled_requests: BTreeMap<id::Upstream, u32>,
     watchers: Vec<Watcher>,
     list: List,
+    /// Digest of the list.
+    list_digest: u64,
     gateways: BTreeMap<id::Host, GatewayState>,
     /// Upstreams that have announced to any gateway that they leave.
     departures: Admission,
@@ -188,10 +194,13 @@
     /// Gateways with requests that wait for an adapter.
     waiting_gateways: BTreeMap<Adapter, BTreeSet<id::Host>>,
     /// Changes of the placement that were not yet sent to all gateways.
-    residency_changes: Vec<Residency>,
+    residency_changes: Backlog,
     next_notice: Instant,
-    /// Earliest time at which the next gateway is sent all residencies.
-    next_snapshot: Instant,
+    /// Large messages to one gateway after the other.
+    rollout: Rollout,
+    /// Open requests at each replica as the gateways were told.
+    told: ToldCounts,
+    report_permits: Arc<Semaphore>,
     next_summary: Instant,
     /// The newest configuration; a gateway that falls behind skips to it.
     configuration: watch::Sender<Option<Arc<ConfigurationHistory>>>,
@@ -203,6 +212,7 @@
 impl Drop for LeaderState {
     fn drop(&mut self) {
         self.list_reader.abort();
+        self.report_permits.close();
     }
 }
 
@@ -294,8 +304,8 @@
         if state.marks_differ {
             wake = wake.min(state.next_marks_proposal);
         }
-        if state.watchers.iter().any(|watcher| watcher.needs_snapshot) {
-            wake = wake.min(state.next_snapshot);
+        if let Some(due) = state.next_bulk() {
+            wake = wake.min(due);
         }
         let now = Instant::now();
         let may_order = state.may_order(&self.voter_status, now);
@@ -397,6 +407,7 @@
             unscheduled_requests: BTreeMap::new(),
             watchers: Vec::new(),
             list: List::default(),
+            list_digest: 0,
             gateways: BTreeMap::new(),
             departures: Admission::default(),
             pauses: Pauses::default(),
@@ -412,9 +423,11 @@
             next_marks_proposal: now,
             helpers: helpers::State::new(now),
             waiting_gateways: BTreeMap::new(),
-            residency_changes: Vec::new(),
+            residency_changes: Backlog::default(),
             next_notice: now,
-            next_snapshot: now + FIRST_SNAPSHOT_DELAY,
+            rollout: Rollout::new(now, now + FIRST_SNAPSHOT_DELAY),
+            told: ToldCounts::default(),
+            report_permits: actions::report_permits(),
             next_summary: now,
             configuration: watch::Sender::new(None),
             announced: Arc::default(),
@@ -494,11 +507,17 @@
         }
         let changes = state.placement.take_changes();
         state.notify_waiting_gateways(&changes);
-        state.residency_changes.extend(changes);
+        for change in changes {
+            state.residency_changes.add(change);
+        }
         if now >= state.next_notice {
             state.broadcast_update(now);
+            state.catch_up(now);
+            let (waiting, behind) = state.backlog();
+            self.gateway.metrics.waiting_notices.set(waiting as i64);
+            self.gateway.metrics.gateways_behind.set(behind as i64);
         }
-        state.send_snapshots(now);
+        state.send_bulk(now);
         let ended = Instant::now();
         let pause = (ended - now) * TICK_PAUSE_FACTOR;
         state.next_tick = (now + TICK_INTERVAL).max(ended + pause);
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -6,27 +6,29 @@
     time::Duration,
 };
 
-use prost::Message;
-use tokio::{
-    sync::{mpsc, watch},
-    time::Instant,
-};
+use tokio::{sync::mpsc, time::Instant};
 
-use super::{GatewayState, LeaderState, Watcher, configuration_history::ConfigurationHistory};
+use super::{
+    GatewayState, LeaderState, Watcher,
+    configuration_history::ConfigurationHistory,
+    delivery::{NoticeStream, WATCHER_QUEUE, send_notices},
+};
 use crate::{
     admission::Origin,
-    gateway::message::{
-        self, Announcement, Counts, Document, List, Notice, ReachReport, Residency, Tally,
-        Upstream, Watch,
+    gateway::{
+        fleet::{
+            list,
+            receiver::{ListUpdate, Receiver},
+        },
+        message::{
+            self, Announcement, Counts, Document, List, ListChanges, Notice, ReachReport,
+            Residency, SparseCounts, Tally, Upstream, Watch,
+        },
     },
     id,
     link::Responder,
-    wire::{Body, Redirect},
 };
 
-/// Notices that may wait for one gateway. A gateway that lags further is dropped and must subscribe
-/// again.
-const WATCHER_QUEUE_CAPACITY: usize = 128;
 /// Time between two summaries in the log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two notices to a gateway in a small system.
@@ -34,55 +36,67 @@
 /// Number of gateways up to which `NOTICE_INTERVAL` applies. With more, the interval grows in
 /// proportion, so that the leader's message rate stays bounded.
 const SMALL_SYSTEM_GATEWAYS: u32 = 32;
-/// Rate at which gateways are sent all residencies, over all gateways.
-const SNAPSHOT_BYTES_PER_SECOND: f64 = 2e6;
-/// Time for which that rate may be used in advance.
-const SNAPSHOT_BURST: Duration = Duration::from_millis(50);
+/// Rate of changed counts and residencies over all gateways.
+const UPDATE_BYTES_PER_SECOND: f64 = 400e3;
+/// Size of changed counts, and of changed residencies, up to which a notice is never cut.
+const MIN_UPDATE_BYTES: usize = 256;
 /// Time without a tally after which a gateway is no longer counted.
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl LeaderState {
-    /// Subscribes a gateway to notices. The first notice carries all current state except the
-    /// configuration and the residencies, which follow.
-    pub(super) fn add_watcher(&mut self, watch: Watch, responder: Responder, now: Instant) {
-        let (queue, receiver) = mpsc::channel(WATCHER_QUEUE_CAPACITY);
-        let first = Notice {
-            term: self.term,
-            document: None,
-            patch: None,
+    /// Everything that a gateway must know but the list, the residencies and the configuration.
+    pub(super) fn whole_state(&self, now: Instant) -> Notice {
+        Notice {
             announced: announcements(&self.announced),
-            list: (self.list.number > 0).then(|| self.list.clone()),
-            residencies: Vec::new(),
-            open: None,
             voters: self.voters.clone(),
-            hosts: self.gateway_count(),
-            is_snapshot: false,
-            interval_ms: self.notice_interval().as_millis() as u32,
             leaving: self.departing(now),
             marks: self.ledger.marks().collect(),
             limits: self.limits.reports(),
-            permits: Vec::new(),
             baselines: self.baselines(),
-            helpers: Vec::new(),
             brittle: self.ceilings.reports(),
-        };
+            open_changes: (self.list.number > 0).then(|| self.told.all()),
+            is_whole: true,
+            ..Notice::default()
+        }
+    }
+
+    /// Subscribes a gateway to notices. The first notice carries all current state except the
+    /// configuration, the residencies and, unless the gateway has it already, the list, which follow.
+    pub(super) fn add_watcher(&mut self, watch: Watch, responder: Responder, now: Instant) {
+        let (queue, receiver) = mpsc::channel(WATCHER_QUEUE);
         log::info!(
             "event=hub.watch host={} session={:016x}",
             watch.host,
             watch.session
         );
+        let notices = NoticeStream {
+            queue: receiver,
+            configurations: self.configuration.subscribe(),
+            known_version: watch.version,
+        };
+        let mut receiver = Receiver::new(&watch);
+        let mut first = self.whole_state(now);
+        if self.list.number > 0 {
+            match receiver.update_list(0, self.known_list()) {
+                ListUpdate::Number { from } => first.list_changes = Some(self.list_from(from)),
+                ListUpdate::WholeNow => first.list = Some(self.list.clone()),
+                ListUpdate::Changes | ListUpdate::WholeLater => {}
+            }
+        }
         self.watchers.retain(|known| known.host != watch.host);
         self.watchers.push(Watcher {
             host: watch.host.clone(),
-            needs_snapshot: self.list.number > 0,
+            receiver,
+            is_lost: false,
             helpers: Vec::new(),
             queue,
         });
+        let first = self.encode(first);
         self.gateways.insert(
             watch.host,
             GatewayState {
                 session: watch.session,
-                open: Counts::default(),
+                open: SparseCounts::default(),
                 updated_at: now,
                 address: watch.address,
                 zone: watch.zone,
@@ -91,14 +105,18 @@
             },
         );
         self.helpers.differ = true;
-        let notices = NoticeStream {
-            queue: receiver,
-            configurations: self.configuration.subscribe(),
-            known_version: watch.version,
-        };
         tokio::spawn(send_notices(first, notices, responder));
     }
 
+    /// Changes that lead from the same list under another number.
+    fn list_from(&self, from: u64) -> ListChanges {
+        ListChanges {
+            from,
+            number: self.list.number,
+            ..ListChanges::default()
+        }
+    }
+
     pub(super) fn gateway_count(&self) -> u32 {
         self.gateways.len() as u32
     }
@@ -109,7 +127,7 @@
     }
 
     /// Records what a gateway reports; `own_host` is the host of this leader.
-    pub(super) fn record_tally(&mut self, tally: Tally, own_host: &str, now: Instant) {
+    pub(super) fn record_tally(&mut self, mut tally: Tally, own_host: &str, now: Instant) {
         self.record_departures(&tally.leaving, now);
         self.record_pauses(&tally, own_host, now);
         self.record_evidence(&tally, now);
@@ -142,7 +160,11 @@
         for streams in &tally.streams {
             self.scheduler.count_streams(streams, now);
         }
-        let told = tally.open.as_ref();
+        let sparse = |dense: Option<Counts>| dense.as_ref().map(SparseCounts::from);
+        let open = tally.open_sparse.take().or(sparse(tally.open.take()));
+        let unassigned = tally.unassigned_sparse.take();
+        let unassigned = unassigned.or(sparse(tally.unassigned.take()));
+        let told = open.as_ref();
         if told.is_some_and(|open| open.list == self.list.number) {
             self.ceilings.record_heard(&tally.host);
         }
@@ -154,7 +176,7 @@
             .entry(tally.host)
             .or_insert_with(|| GatewayState {
                 session: tally.session,
-                open: Counts::default(),
+                open: SparseCounts::default(),
                 updated_at: now,
                 address: String::new(),
                 zone: id::Zone::default(),
@@ -163,10 +185,10 @@
             });
         gateway.updated_at = now;
         gateway.session = tally.session;
-        if let Some(open) = tally.open {
+        if let Some(open) = open {
             gateway.open = open;
         }
-        gateway.unassigned = tally.unassigned;
+        gateway.unassigned = unassigned;
         if !self.ceilings.is_empty() {
             self.unscheduled_requests = self.count_unscheduled();
         }
@@ -232,7 +254,6 @@
         if self.list.number > 0 && same_list(&self.list.upstreams, &upstreams) {
             return;
         }
-        let first = self.list.number == 0;
         self.placement.set_upstreams(&upstreams, now);
         let software = upstreams
             .iter()
@@ -255,39 +276,38 @@
         if !self.ceilings.is_empty() {
             self.move_counts(&list);
         }
-        self.list = list;
-        for watcher in &mut self.watchers {
-            watcher.needs_snapshot |= first;
-        }
-        self.broadcast(&Notice {
-            list: Some(self.list.clone()),
-            ..Notice::default()
-        });
+        self.told.set_list(&self.list, &list);
+        self.list_digest = list::digest(list.upstreams.iter());
+        self.rollout.list = None;
+        let before = std::mem::replace(&mut self.list, list);
+        self.spread_list(&before);
     }
 
-    /// Sends all residencies to the gateways that need them, one after the other at a limited rate.
-    /// Gateways use them only without a leader, so they must not delay grants, heartbeats and
-    /// configurations on the link of the leader's host.
-    pub(super) fn send_snapshots(&mut self, now: Instant) {
-        let needing = |watcher: &Watcher| watcher.needs_snapshot;
-        if now < self.next_snapshot || !self.watchers.iter().any(needing) {
-            return;
-        }
-        let notice = self.with_common_fields(Notice {
-            residencies: self.placement.residencies(),
-            is_snapshot: true,
+    /// Sends the list to the gateways that were sent the one before, or that take it at once.
+    fn spread_list(&mut self, before: &List) {
+        let changes = self.encode(Notice {
+            list_changes: Some(ListChanges::between(before, &self.list)),
             ..Notice::default()
         });
-        let size = notice.encoded_len() as f64;
-        let time = Duration::from_secs_f64(size / SNAPSHOT_BYTES_PER_SECOND);
-        while now >= self.next_snapshot
-            && let Some(watcher) = self.watchers.iter_mut().find(|one| one.needs_snapshot)
-        {
-            watcher.needs_snapshot = false;
-            // A gateway whose queue is full is dropped at the next broadcast.
-            let _ = watcher.queue.try_send(notice.clone());
-            let earliest = now.checked_sub(SNAPSHOT_BURST).unwrap_or(now);
-            self.next_snapshot = self.next_snapshot.max(earliest) + time;
+        let newest = self.known_list();
+        for at in 0..self.watchers.len() {
+            let update = self.watchers[at]
+                .receiver
+                .update_list(before.number, newest);
+            let notice = match update {
+                ListUpdate::Changes => changes.clone(),
+                ListUpdate::Number { from } => self.encode(Notice {
+                    list_changes: Some(self.list_from(from)),
+                    open_changes: Some(self.told.all()),
+                    ..Notice::default()
+                }),
+                ListUpdate::WholeNow => self.encode(Notice {
+                    list: Some(self.list.clone()),
+                    ..Notice::default()
+                }),
+                ListUpdate::WholeLater => continue,
+            };
+            self.watchers[at].send(notice);
         }
     }
 
@@ -301,8 +321,10 @@
         let mut counts = vec![0_u32; self.list.upstreams.len()];
         let current = self.gateways.values().map(|gateway| &gateway.open);
         for open in current.filter(|open| open.list == self.list.number) {
-            for (sum, count) in counts.iter_mut().zip(&open.counts) {
-                *sum += count;
+            for (at, count) in open.iter() {
+                if let Some(sum) = counts.get_mut(at) {
+                    *sum += count;
+                }
             }
         }
         for (upstream, count) in self.list.upstreams.iter().zip(&counts) {
@@ -336,17 +358,12 @@
                 residencies,
                 ..Notice::default()
             };
-            let watcher = self.watchers.iter().find(|watcher| watcher.host == host);
-            // A gateway whose queue is full is dropped at the next broadcast.
-            if let Some(watcher) = watcher {
-                let _ = watcher.queue.try_send(self.with_common_fields(notice));
-            }
+            self.send_to(&host, notice);
         }
     }
 
     pub(super) fn broadcast_update(&mut self, now: Instant) {
         let open = self.sum_open_requests(now);
-        let residencies = std::mem::take(&mut self.residency_changes);
         let interval = self.notice_interval();
         self.next_notice = now + interval;
         if now >= self.next_summary {
@@ -364,10 +381,32 @@
                 self.placement.summary()
             );
         }
-        self.broadcast(&Notice {
+        self.broadcast_changes(&open, interval);
+        self.end_rollout();
+    }
+
+    /// Sends changed counts and residencies to all gateways, as many as the time between two notices allows.
+    fn broadcast_changes(&mut self, open: &Counts, interval: Duration) {
+        let watchers = self.watchers.len().max(1) as f64;
+        let bytes = UPDATE_BYTES_PER_SECOND * interval.as_secs_f64() / watchers;
+        let bytes = (bytes / 2.0) as usize;
+        let bytes = bytes.max(MIN_UPDATE_BYTES);
+        let residencies = self.residency_changes.take(bytes);
+        self.rollout.record_broadcast(&residencies);
+        let (upstreams, replicas) = (&self.list.upstreams, self.placement.replicas());
+        // Gateways select the upstreams of plain services by themselves.
+        let is_plain = |at: usize| !replicas.contains_key(&upstreams[at].name);
+        let open_changes = self.told.take_changes(open, is_plain, bytes);
+        self.rollout.list = None;
+        let notice = Notice {
             residencies,
-            open: Some(open),
+            open_changes: Some(open_changes),
             ..Notice::default()
+        };
+        self.broadcast_forms(&notice, || Notice {
+            open: Some(open.clone()),
+            open_changes: None,
+            ..notice.clone()
         });
     }
 
@@ -416,26 +455,10 @@
             term: self.term,
             hosts: self.gateway_count(),
             interval_ms: self.notice_interval().as_millis() as u32,
+            list_number: self.list.number,
             ..notice
         }
     }
-
-    /// Sends a notice to every gateway, and drops gateways whose queue is full.
-    pub(super) fn broadcast(&mut self, notice: &Notice) {
-        let notice = self.with_common_fields(notice.clone());
-        // All residencies follow in the snapshot.
-        let without_residencies = Notice {
-            residencies: Vec::new(),
-            ..notice.clone()
-        };
-        self.watchers.retain(|watcher| {
-            let notice = match watcher.needs_snapshot {
-                true => &without_residencies,
-                false => &notice,
-            };
-            watcher.queue.try_send(notice.clone()).is_ok()
-        });
-    }
 }
 
 /// Whether two readings of the list have the same upstreams, with the same addresses, services, software
@@ -461,51 +484,3 @@
     };
     announced.iter().map(announcement).collect()
 }
-
-/// Source of the notices for one gateway.
-struct NoticeStream {
-    queue: mpsc::Receiver<Notice>,
-    configurations: watch::Receiver<Option<Arc<ConfigurationHistory>>>,
-    /// Version of the configuration that the gateway has or was sent.
-    known_version: u64,
-}
-
-impl NoticeStream {
-    /// The next notice; `None` once there will be no more.
-    async fn next(&mut self) -> Option<Notice> {
-        loop {
-            let history = self.configurations.borrow_and_update().clone();
-            if let Some(history) = history.filter(|history| history.version() > self.known_version)
-            {
-                let known = std::mem::replace(&mut self.known_version, history.version());
-                return Some(history.notice(known));
-            }
-            tokio::select! {
-                notice = self.queue.recv() => return notice,
-                changed = self.configurations.changed() => changed.ok()?,
-            }
-        }
-    }
-}
-
-/// Sends a gateway its first notice, then each further one as it comes. The first notice is short:
-/// until it arrives, the gateway considers the leader lost.
-async fn send_notices(first: Notice, mut notices: NoticeStream, responder: Responder) {
-    if responder.send(Body::Notice(first)).await.is_err() {
-        return;
-    }
-    loop {
-        let notice = tokio::select! {
-            notice = notices.next() => notice,
-            () = responder.cancelled() => None,
-        };
-        let Some(notice) = notice else {
-            break;
-        };
-        if responder.send(Body::Notice(notice)).await.is_err() {
-            return;
-        }
-    }
-    // The gateway subscribes again, here or at another leader.
-    let _ = responder.finish(Body::Redirect(Redirect::default())).await;
-}
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -3,10 +3,12 @@
 //! Per-replica counts are indexed by position in the newest upstream list that the leader has sent.
 //! Counts for a list with another number are ignored.
 
+use bytes::Bytes;
 use prost::Message;
 
 pub use super::concurrency::message::{BrittleReport, Rejections};
 pub use super::detour_message::{Helper, ReachReport, Tunnel, TunnelOutcome};
+pub use super::fleet::message::{ListChanges, SparseCounts};
 use super::patch::Patch;
 pub use crate::voter::{
     command::{Announcement, Document, Key, Mark},
@@ -33,6 +35,15 @@
     /// Availability zone of the host.
     #[prost(string, tag = "5")]
     pub zone: String,
+    /// Whether the host applies changes to lists and counts; hosts of older versions do not say so.
+    #[prost(bool, tag = "6")]
+    pub takes_changes: bool,
+    /// Number of the upstream list that the host has; zero for none.
+    #[prost(uint64, tag = "7")]
+    pub list: u64,
+    /// Digest of that list.
+    #[prost(fixed64, tag = "8")]
+    pub list_digest: u64,
 }
 
 /// Changes since the previous notice. Absent fields are unchanged.
@@ -100,6 +111,22 @@
     /// are.
     #[prost(message, repeated, tag = "18")]
     pub brittle: Vec<BrittleReport>,
+    /// More fields, as a compressed notice.
+    #[prost(bytes = "bytes", tag = "25")]
+    pub packed: Bytes,
+    /// Changes to the upstream list that the receiver has.
+    #[prost(message, optional, tag = "26")]
+    pub list_changes: Option<ListChanges>,
+    /// Open requests of all gateways at replicas where they have changed.
+    #[prost(message, optional, tag = "27")]
+    pub open_changes: Option<SparseCounts>,
+    /// Number of the leader's newest upstream list; zero for none, and from leaders of older versions.
+    #[prost(uint64, tag = "28")]
+    pub list_number: u64,
+    /// Whether the notice carries the whole state but lists, residencies and configuration, as the first
+    /// notice of a watch does. The leader takes sparse tallies then.
+    #[prost(bool, tag = "29")]
+    pub is_whole: bool,
 }
 
 /// The platform's list of upstreams.
@@ -251,6 +278,12 @@
     /// host reports.
     #[prost(message, optional, tag = "17")]
     pub unassigned: Option<Counts>,
+    /// `open` without its zeros, in its place.
+    #[prost(message, optional, tag = "24")]
+    pub open_sparse: Option<SparseCounts>,
+    /// `unassigned` without its zeros, in its place.
+    #[prost(message, optional, tag = "25")]
+    pub unassigned_sparse: Option<SparseCounts>,
 }
 
 /// How many requests an upstream takes from all hosts together.
--- a/crates/tanagershift/src/gateway/metrics.rs
+++ b/crates/tanagershift/src/gateway/metrics.rs
@@ -8,7 +8,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::metrics::SECONDS;
+use crate::{link::traffic, metrics::SECONDS};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -92,6 +92,10 @@
     pub cut_off: Gauge,
     /// Calls of the platform's upstream list, one for each page.
     pub list_reads: Counter,
+    /// Notices that wait for gateways, on the leader's host.
+    pub waiting_notices: Gauge,
+    /// Gateways that missed notices since they take them too slowly, on the leader's host.
+    pub gateways_behind: Gauge,
     /// Requests of callers that are currently open.
     pub open: Gauge,
     /// Version of the configuration in force; zero for none.
@@ -133,6 +137,8 @@
             cut_offs: Counter::default(),
             cut_off: Gauge::default(),
             list_reads: Counter::default(),
+            waiting_notices: Gauge::default(),
+            gateways_behind: Gauge::default(),
             open: Gauge::default(),
             version: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -217,6 +223,12 @@
         registry.register("cut_off", help, self.cut_off.clone());
         let help = "Readings of the platform's list";
         registry.register("list_reads", help, self.list_reads.clone());
+        let help = "Notices that wait for gateways, on the leader's host";
+        registry.register("waiting_notices", help, self.waiting_notices.clone());
+        let help = "Gateways that missed notices, on the leader's host";
+        registry.register("gateways_behind", help, self.gateways_behind.clone());
+        let help = "Bytes sent to other hosts by message type";
+        registry.register_with_unit("sent", help, Unit::Bytes, traffic::sent());
         registry.register("open_requests", "Open requests", self.open.clone());
         let help = "Version of the configuration in force";
         registry.register("configuration_version", help, self.version.clone());
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! * `configuration`: routes, services and limits in force.
 //! * `scheduler`: assigns waiting requests to replicas on the leader; `ask` is the gateway's side.
+//! * `fleet`: what hosts and the leader tell each other when there are many.
 //! * `view`: what this gateway knows about upstreams and adapters; `background` keeps it up to date.
 //! * `hub`: the leader's side: reads the platform's upstream list, places adapters and notifies the
 //!   gateways.
@@ -45,6 +46,7 @@
 pub mod dialect;
 pub mod event_stream;
 pub mod exchange;
+pub mod fleet;
 pub mod forward;
 pub mod helpers;
 pub mod hub;
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -16,6 +16,9 @@
 
 /// Loads of base models from the store per second if the configuration sets no rate.
 const DEFAULT_MODEL_LOADS_PER_SECOND: f64 = 1.0;
+/// Replicas that the loads of one planning pass compare, over all loads. In a large fleet further loads are
+/// planned by the next passes, so that the leader's heartbeats and grants go out in between.
+const MAX_COMPARISONS: usize = 60_000;
 /// Assumed mean run time of a request until enough requests have been observed.
 const INITIAL_RUN_TIME_SECONDS: f64 = 2.0;
 
@@ -112,7 +115,8 @@
         let slots = usable.flat_map(Replica::adapters);
         let planned = slots.filter(|(_, slot)| planned(slot)).count();
         let limit = self.load_limit as usize;
-        (limit + limit / 4).saturating_sub(self.store_loads() + planned)
+        let budget = (limit + limit / 4).saturating_sub(self.store_loads() + planned);
+        budget.min((MAX_COMPARISONS / self.replicas.len().max(1)).max(1))
     }
 
     /// Plans the requested loads: the adapters with the most waiting requests first, then those
@@ -242,20 +246,21 @@
             work.unwrap_or(0.0) / slots + open + loading_penalty - fast_load_bonus
         };
         let fits = |replica: &&Replica| {
-            replica.free_slots() > 0
-                && replica.is_usable()
+            replica.is_usable()
                 && !replica.is_paused(now)
                 && !replica.is_gone(now)
                 && software.is_none_or(|one| one == replica.upstream.software)
                 && replica.holds(model)
                 && !replica.slots.contains_key(adapter)
+                && replica.free_slots() > 0
         };
         let best = self
             .replicas
             .values()
             .filter(fits)
-            .min_by(|left, right| rank(left).total_cmp(&rank(right)))
-            .map(|replica| replica.upstream.name.clone());
+            .map(|replica| (rank(replica), replica))
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .map(|(_, replica)| replica.upstream.name.clone());
         let Some(name) = best else {
             return false;
         };
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -12,10 +12,11 @@
 use super::{
     concurrency::Shares,
     configuration::Configuration,
+    fleet::{list, receiver::KnownList},
     limit::Permits,
     message::{
-        Baseline, Counts, Demand, List, Notice, Pause, Rejections, Residency, ServiceDemand,
-        Upstream,
+        Baseline, Counts, Demand, List, ListChanges, Notice, Pause, Rejections, Residency,
+        ServiceDemand, SparseCounts, Upstream,
     },
     placement::FIRST_VERSION,
 };
@@ -133,6 +134,8 @@
     /// Upstreams that accepted no connection since the previous tally.
     unreachable: BTreeSet<id::Upstream>,
     list_number: u64,
+    /// Whether the leader that is watched names the number of its list, and takes sparse tallies.
+    is_leader_sparse: bool,
     /// When the list was last known to be current, by [`clock::now`], which counts suspension; `None`
     /// before the first.
     list_confirmed_at: Option<Instant>,
@@ -165,8 +168,13 @@
         if let Some(list) = &notice.list {
             self.apply_list(list, clock::corrected(now), now);
         }
-        // The leader sends each change at once.
-        if self.has_list() {
+        if let Some(changes) = &notice.list_changes {
+            self.apply_list_changes(changes, now);
+        }
+        self.is_leader_sparse |= notice.is_whole;
+        // The leader sends each change at once, and the whole list as soon as it can.
+        let is_newest = notice.list_number == self.list_number;
+        if self.has_list() && (is_newest || !self.is_leader_sparse) {
             self.list_confirmed_at = Some(clock::corrected(now));
         }
         if notice.is_snapshot {
@@ -198,11 +206,35 @@
         if let Some(open) = &notice.open {
             self.apply_open(open);
         }
+        if let Some(open) = &notice.open_changes {
+            self.apply_open_changes(open);
+        }
+    }
+
+    /// Number and digest of the upstream list.
+    pub fn known_list(&self) -> KnownList {
+        let upstreams = self.upstreams.values();
+        KnownList {
+            number: self.list_number,
+            digest: list::digest(upstreams.map(|known| &*known.upstream)),
+        }
+    }
+
+    /// Whether a notice holds changes to another list than this view has.
+    pub fn lacks_list(&self, notice: &Notice) -> bool {
+        let changes = notice.list_changes.as_ref();
+        changes.is_some_and(|changes| changes.from != self.list_number)
+    }
+
+    /// Whether the leader takes sparse tallies.
+    pub fn is_leader_sparse(&self) -> bool {
+        self.is_leader_sparse
     }
 
     /// Begins to watch a leader, which knows none of the open requests.
     pub fn begin_watch(&mut self, now: Instant) {
         self.watch += 1;
+        self.is_leader_sparse = false;
         for known in self.upstreams.values_mut() {
             known.stats.unassigned = known.stats.open;
         }
@@ -222,29 +254,48 @@
     /// Replaces the upstream list. Upstreams that are no longer listed are dropped together with
     /// their residencies. `read_at` is when the list was read, by [`clock::now`].
     pub fn apply_list(&mut self, list: &List, read_at: Instant, now: Instant) {
-        let hosts = self.hosts;
         let mut known = std::mem::take(&mut self.upstreams);
         for upstream in &list.upstreams {
-            let mut entry = known
-                .remove(&upstream.name)
-                .unwrap_or_else(|| KnownUpstream {
-                    upstream: Arc::new(upstream.clone()),
-                    total_open: 0,
-                    share: upstream.slots.checked_div(hosts).unwrap_or(0),
-                    stats: Stats::default(),
-                });
-            if *entry.upstream != *upstream {
-                entry.upstream = Arc::new(upstream.clone());
-            }
-            self.upstreams.insert(upstream.name.clone(), entry);
+            let entry = known.remove(&upstream.name);
+            self.set_upstream(entry, upstream);
+        }
+        self.end_list_update(list.number, read_at, now);
+    }
+
+    /// Applies changes to the list; those to another list than this one are ignored.
+    fn apply_list_changes(&mut self, changes: &ListChanges, now: Instant) {
+        if changes.from != self.list_number {
+            return;
+        }
+        for name in &changes.removed {
+            self.upstreams.remove(name);
+        }
+        for upstream in &changes.changed {
+            let entry = self.upstreams.remove(&upstream.name);
+            self.set_upstream(entry, upstream);
         }
-        self.list_number = list.number;
+        self.end_list_update(changes.number, clock::corrected(now), now);
+    }
+
+    /// Lists an upstream; `entry` is what was known of it.
+    fn set_upstream(&mut self, entry: Option<KnownUpstream>, upstream: &Upstream) {
+        let mut entry = entry.unwrap_or_else(|| KnownUpstream {
+            upstream: Arc::new(upstream.clone()),
+            total_open: 0,
+            share: upstream.slots.checked_div(self.hosts).unwrap_or(0),
+            stats: Stats::default(),
+        });
+        if *entry.upstream != *upstream {
+            entry.upstream = Arc::new(upstream.clone());
+        }
+        self.upstreams.insert(upstream.name.clone(), entry);
+    }
+
+    fn end_list_update(&mut self, number: u64, read_at: Instant, now: Instant) {
+        self.list_number = number;
         self.list_confirmed_at = Some(read_at);
-        self.list_order = list
-            .upstreams
-            .iter()
-            .map(|upstream| upstream.name.clone())
-            .collect();
+        // Lists are sorted by name.
+        self.list_order = self.upstreams.keys().cloned().collect();
         let listed = &self.upstreams;
         for residencies in self.residencies.values_mut() {
             residencies.retain(|name, _| listed.contains_key(name));
@@ -283,6 +334,26 @@
         }
     }
 
+    fn apply_open_changes(&mut self, open: &SparseCounts) {
+        if open.list != self.list_number {
+            return;
+        }
+        if open.is_whole {
+            for known in self.upstreams.values_mut() {
+                known.total_open = 0;
+            }
+        }
+        for (position, total_open) in open.iter() {
+            let name = self.list_order.get(position);
+            if let Some(known) = name.and_then(|name| self.upstreams.get_mut(name)) {
+                known.total_open = total_open;
+            }
+        }
+        for known in self.upstreams.values_mut() {
+            known.set_share(self.hosts);
+        }
+    }
+
     /// Whether any upstream list has been received.
     pub fn has_list(&self) -> bool {
         self.list_number > 0
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -2,6 +2,12 @@
 //!
 //! The opener numbers the streams and never uses a number twice within a connection. Frames for a
 //! stream that has ended are dropped and counted.
+//!
+//! * `writer`: writes frames, urgent ones first.
+//! * `traffic`: counts what is sent.
+
+pub mod traffic;
+mod writer;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -14,15 +20,20 @@
 
 use futures_util::{
     SinkExt, StreamExt,
-    stream::{self, FuturesUnordered, SplitStream},
+    stream::{self, FuturesUnordered},
 };
 use snafu::Snafu;
+use socket2::SockRef;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     sync::{mpsc, watch},
     time::timeout,
 };
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Framed, FramedParts};
+use writer::Writer;
 
 use crate::{
     emit,
@@ -46,8 +57,9 @@
 /// Probes without any frame after which a connection is given up; the time for which sent bytes may
 /// stay unacknowledged is as long.
 const PROBES: u32 = 3;
-/// Frames that wait for a connection's writer.
-const WRITE_QUEUE: usize = 4096;
+/// Sent bytes that the system takes before the peer's side of the connection does. Urgent frames wait
+/// behind these.
+const UNSENT_LIMIT: u32 = 64 << 10;
 /// Bytes that wait for one slow reader before its stream is cut.
 const READ_LIMIT: usize = 4 << 20;
 /// Open streams after which those that have ended are forgotten.
@@ -78,6 +90,20 @@
 /// A connection that carries frames.
 pub type Connection = Framed<TcpStream, Codec>;
 
+/// The half of a connection from which frames are read.
+type Reader = Framed<OwnedReadHalf, Codec>;
+
+/// Splits a connection; frames that have arrived already are read first.
+fn split(connection: Connection) -> (OwnedWriteHalf, Reader) {
+    let parts = connection.into_parts();
+    // Bulk frames are only delayed more without the option.
+    let _ = SockRef::from(&parts.io).set_tcp_notsent_lowat(UNSENT_LIMIT);
+    let (read, write) = parts.io.into_split();
+    let mut reader = FramedParts::new::<Frame>(read, parts.codec);
+    reader.read_buf = parts.read_buf;
+    (write, Framed::from_parts(reader))
+}
+
 /// Who this process is to its peers.
 #[derive(Clone, Debug, Default)]
 pub struct Greeting {
@@ -127,7 +153,7 @@
     next: AtomicU64,
     /// `None` once the connection has ended.
     inboxes: Mutex<Option<HashMap<id::Stream, Inbox>>>,
-    writer: mpsc::Sender<Frame>,
+    writer: Writer,
     dropped: AtomicU64,
     /// Whether something was sent since the last frame came.
     unheard: AtomicBool,
@@ -179,8 +205,8 @@
             .await
             .map_err(|_| fail("timeout".to_owned()))?
             .map_err(fail)?;
-        let (sink, stream) = connection.split();
-        let (writer, queue) = mpsc::channel(WRITE_QUEUE);
+        let (sink, stream) = split(connection);
+        let writer = Writer::start(sink);
         let shared = Arc::new(Shared {
             next: AtomicU64::new(1),
             inboxes: Mutex::new(Some(HashMap::new())),
@@ -188,7 +214,6 @@
             dropped: AtomicU64::new(0),
             unheard: AtomicBool::new(false),
         });
-        tokio::spawn(write(sink, queue));
         tokio::spawn(read(stream, shared.clone()));
         Ok(Self { shared })
     }
@@ -233,11 +258,7 @@
             body: Some(body),
         };
         self.shared.unheard.store(true, Ordering::Relaxed);
-        self.shared
-            .writer
-            .send(frame)
-            .await
-            .map_err(|_| Error::Lost)?;
+        self.shared.writer.send(frame).await?;
         Ok(call)
     }
 
@@ -253,7 +274,7 @@
             body: Some(body),
         };
         self.shared.unheard.store(true, Ordering::Relaxed);
-        self.shared.writer.try_send(frame).map_err(|_| Error::Lost)
+        self.shared.writer.try_send(frame)
     }
 }
 
@@ -352,32 +373,12 @@
 
 fn weight(body: &Body) -> usize {
     match body {
-        Body::Chunk(bytes) => bytes.len(),
+        Body::Chunk(bytes) | Body::Notice(bytes) => bytes.len(),
         _ => 1,
     }
 }
 
-type Sink = futures_util::stream::SplitSink<Connection, Frame>;
-
-async fn write(mut sink: Sink, mut queue: mpsc::Receiver<Frame>) {
-    while let Some(frame) = queue.recv().await {
-        if sink.feed(frame).await.is_err() {
-            return;
-        }
-        while let Ok(frame) = queue.try_recv() {
-            if sink.feed(frame).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
-            return;
-        }
-    }
-    // Nobody writes any more. A peer that is gone already makes no difference.
-    let _ = sink.close().await;
-}
-
-async fn read(mut stream: SplitStream<Connection>, shared: Arc<Shared>) {
+async fn read(mut stream: Reader, shared: Arc<Shared>) {
     let mut probes = 0;
     loop {
         // A connection that cannot be written is of no use.
@@ -532,7 +533,7 @@
 pub struct Responder {
     stream: id::Stream,
     finished: bool,
-    writer: mpsc::Sender<Frame>,
+    writer: Writer,
     cancelled: watch::Receiver<bool>,
     host: id::Host,
 }
@@ -547,6 +548,21 @@
         self.write(body, false).await
     }
 
+    /// Sends a message that is not the last and that all others on the connection may pass, as soon as the
+    /// peer takes it.
+    ///
+    /// # Errors
+    ///
+    /// The connection has ended.
+    pub async fn send_bulk(&self, body: Body) -> Result<(), Error> {
+        let frame = Frame {
+            stream: self.stream,
+            last: false,
+            body: Some(body),
+        };
+        self.writer.send_bulk(frame).await
+    }
+
     /// Sends the last message.
     ///
     /// # Errors
@@ -568,7 +584,7 @@
             last: false,
             body: Some(body),
         };
-        self.writer.try_send(frame).map_err(|_| Error::Lost)
+        self.writer.try_send(frame)
     }
 
     /// Sends the last message unless too much waits for the connection.
@@ -595,7 +611,7 @@
             last,
             body: Some(body),
         };
-        self.writer.send(frame).await.map_err(|_| Error::Lost)
+        self.writer.send(frame).await
     }
 
     /// Host name of the opener; empty for a tool.
@@ -688,10 +704,9 @@
         }
         return;
     }
-    let (sink, stream) = connection.split();
+    let (sink, stream) = split(connection);
     let mut stream = stream::iter([first]).chain(stream);
-    let (writer, queue) = mpsc::channel(WRITE_QUEUE);
-    tokio::spawn(write(sink, queue));
+    let writer = Writer::start(sink);
     let mut open: HashMap<id::Stream, watch::Sender<bool>> = HashMap::new();
     let mut prune_at = PRUNE_MIN;
     while let Some(frame) = stream.next().await {
--- a/crates/tanagershift/src/wire.rs
+++ b/crates/tanagershift/src/wire.rs
@@ -3,7 +3,9 @@
 //! A connection opens with a [`Hello`] each way. Then each [`Frame`] belongs to a stream, which the
 //! opener of the connection numbers; a number is used once within a connection.
 
-use bytes::{Bytes, BytesMut};
+use std::io;
+
+use bytes::{BufMut, Bytes, BytesMut};
 use prost::{Message, Oneof};
 use snafu::Snafu;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -126,8 +128,9 @@
     #[prost(message, tag = "26")]
     Watch(message::Watch),
     /// What changed.
-    #[prost(message, tag = "27")]
-    Notice(message::Notice),
+    /// An encoded [`message::Notice`], so that one copy can be sent to every gateway.
+    #[prost(bytes = "bytes", tag = "27")]
+    Notice(Bytes),
     /// What a gateway has seen: demand, open requests, adapters that it lacks.
     #[prost(message, tag = "28")]
     Tally(message::Tally),
@@ -501,7 +504,7 @@
     #[snafu(display("connection failed: {source}"), context(false))]
     Io {
         /// The system's error.
-        source: std::io::Error,
+        source: io::Error,
     },
     /// The bytes do not decode.
     #[snafu(display("invalid frame: {source}"), context(false))]
@@ -540,7 +543,14 @@
     type Error = Error;
 
     fn encode(&mut self, frame: Frame, buffer: &mut BytesMut) -> Result<(), Error> {
-        let bytes = Bytes::from(frame.encode_to_vec());
-        Ok(self.0.encode(bytes, buffer)?)
+        let length = frame.encoded_len();
+        if length > FRAME_LIMIT {
+            return Err(io::Error::from(io::ErrorKind::InvalidInput).into());
+        }
+        buffer.reserve(4 + length);
+        buffer.put_u32(length as u32);
+        // The buffer grows as needed, so that encoding cannot fail.
+        let _ = frame.encode(buffer);
+        Ok(())
     }
 }
