--- a/crates/tanagershift/src/event.rs
+++ b/crates/tanagershift/src/event.rs
@@ -111,6 +111,10 @@
     MEMORY_SHORT = 540, Warn;
     /// Connections of callers were closed for others.
     CONNECTIONS_SHORT = 541, Warn;
+    /// A gateway takes notices more slowly than they come.
+    GATEWAY_BEHIND = 550, Info;
+    /// A gateway that was behind is sent the whole state.
+    GATEWAY_CAUGHT_UP = 551, Info;
     /// A connection between hosts was refused.
     PEER_REFUSED = 601, Warn;
     /// A connection between hosts ended by an invalid frame.
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -3,10 +3,12 @@
 //! Per-replica counts are indexed by position in the newest upstream list that the leader has sent.
 //! Counts for a list with another number are ignored.
 
+use bytes::Bytes;
 use prost::Message;
 
 pub use super::concurrency::message::{BrittleReport, Rejections};
 pub use super::detour_message::{Helper, ReachReport, Tunnel, TunnelOutcome};
+pub use super::fleet::message::{ListChanges, SparseCounts};
 use super::patch::Patch;
 pub use super::placement::message::StoreReport;
 pub use crate::voter::{
@@ -37,6 +39,15 @@
     /// What the last leader has told the host about the weight store.
     #[prost(message, optional, tag = "23")]
     pub store: Option<StoreReport>,
+    /// Whether the host applies changes to lists and counts; hosts of older versions do not say so.
+    #[prost(bool, tag = "6")]
+    pub takes_changes: bool,
+    /// Number of the upstream list that the host has; zero for none.
+    #[prost(uint64, tag = "7")]
+    pub list: u64,
+    /// Digest of that list.
+    #[prost(fixed64, tag = "8")]
+    pub list_digest: u64,
 }
 
 /// Changes since the previous notice. Absent fields are unchanged.
@@ -110,6 +121,22 @@
     /// What the leader has found out about the weight store; absent if unknown.
     #[prost(message, optional, tag = "23")]
     pub store: Option<StoreReport>,
+    /// More fields, as a compressed notice.
+    #[prost(bytes = "bytes", tag = "25")]
+    pub packed: Bytes,
+    /// Changes to the upstream list that the receiver has.
+    #[prost(message, optional, tag = "26")]
+    pub list_changes: Option<ListChanges>,
+    /// Open requests of all gateways at replicas where they have changed.
+    #[prost(message, optional, tag = "27")]
+    pub open_changes: Option<SparseCounts>,
+    /// Number of the leader's newest upstream list; zero for none, and from leaders of older versions.
+    #[prost(uint64, tag = "28")]
+    pub list_number: u64,
+    /// Whether the notice carries the whole state but lists, residencies and configuration, as the first
+    /// notice of a watch does. The leader takes sparse tallies then.
+    #[prost(bool, tag = "29")]
+    pub is_whole: bool,
 }
 
 /// The platform's list of upstreams.
@@ -264,6 +291,12 @@
     /// Paces that upstreams have stated to this gateway, where they have changed.
     #[prost(message, repeated, tag = "20")]
     pub paces: Vec<PaceReport>,
+    /// `open` without its zeros, in its place.
+    #[prost(message, optional, tag = "24")]
+    pub open_sparse: Option<SparseCounts>,
+    /// `unassigned` without its zeros, in its place.
+    #[prost(message, optional, tag = "25")]
+    pub unassigned_sparse: Option<SparseCounts>,
 }
 
 /// How long work takes at an upstream, as it has stated.
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! * `configuration`: routes, services and limits in force; `account`: client accounts.
 //! * `scheduler`: assigns waiting requests to replicas on the leader; `ask` is the gateway's side.
+//! * `fleet`: what hosts and the leader tell each other when there are many.
 //! * `view`: what this gateway knows about upstreams and adapters; `background` keeps it up to date.
 //! * `hub`: the leader's side: reads the platform's upstream list, places adapters and notifies the
 //!   gateways.
@@ -64,6 +65,7 @@
 pub mod fair_use;
 #[cfg(test)]
 mod fair_use_tests;
+pub mod fleet;
 pub mod forward;
 pub mod helpers;
 pub mod hub;
