hub: a new leader continues with the prompt rates of the last

Change: notices tell gateways the adapted rates, as they do for the weight store, and gateways tell the next leader.

--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -77,6 +77,7 @@
                 address: self.address.clone(),
                 zone: self.gateway.zone.clone(),
                 store: self.gateway.view().store,
+                rates: self.gateway.view().rates.clone(),
                 takes_changes: true,
                 list: list.number,
                 list_digest: list.digest,
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -57,7 +57,7 @@
     dialect::{OrderOutcome, Report},
     fleet::{backlog::Backlog, counts::ToldCounts},
     limit::Limits,
-    message::{Ask, Key, List, Mark, Notice, Tally, Upstream, Watch},
+    message::{Ask, Key, List, Mark, Notice, RateReport, Tally, Upstream, Watch},
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
@@ -201,6 +201,8 @@
     residency_changes: Backlog,
     /// Upstreams selected by gateways whose paces were not yet sent to all gateways.
     pace_changes: BTreeSet<id::Upstream>,
+    /// Rates of prompts as the gateways were told.
+    told_rates: Vec<RateReport>,
     next_notice: Instant,
     /// Large messages to one gateway after the other.
     rollout: Rollout,
@@ -434,6 +436,7 @@
             waiting_gateways: BTreeMap::new(),
             residency_changes: Backlog::default(),
             pace_changes: BTreeSet::new(),
+            told_rates: Vec::new(),
             next_notice: now,
             rollout: Rollout::new(now, now + FIRST_SNAPSHOT_DELAY),
             told: ToldCounts::default(),
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -57,6 +57,7 @@
             brittle: self.ceilings.reports(),
             open_changes: (self.list.number > 0).then(|| self.told.all()),
             store: self.store_report(),
+            rates: self.scheduler.rate_reports(),
             is_whole: true,
             ..Notice::default()
         }
@@ -66,6 +67,7 @@
     /// configuration, the residencies and, unless the gateway has it already, the list, which follow.
     pub(super) fn add_watcher(&mut self, watch: Watch, responder: Responder, now: Instant) {
         self.resume_store(watch.store);
+        self.scheduler.resume_rates(&watch.rates, now);
         let (queue, receiver) = mpsc::channel(WATCHER_QUEUE);
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -422,10 +424,16 @@
         let is_plain = |at: usize| !replicas.contains_key(&upstreams[at].name);
         let open_changes = self.told.take_changes(open, is_plain, bytes);
         self.rollout.list = None;
+        let rates = self.scheduler.rate_reports();
+        let rates_changed = rates != self.told_rates;
+        if rates_changed {
+            self.told_rates.clone_from(&rates);
+        }
         let notice = Notice {
             residencies,
             open_changes: Some(open_changes),
             paces,
+            rates: if rates_changed { rates } else { Vec::new() },
             store: self.store_report(),
             ..Notice::default()
         };
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -39,6 +39,9 @@
     /// What the last leader has told the host about the weight store.
     #[prost(message, optional, tag = "23")]
     pub store: Option<StoreReport>,
+    /// What the last leader has told the host about the rates of prompts.
+    #[prost(message, repeated, tag = "24")]
+    pub rates: Vec<RateReport>,
     /// Whether the host applies changes to lists and counts; hosts of older versions do not say so.
     #[prost(bool, tag = "6")]
     pub takes_changes: bool,
@@ -121,6 +124,9 @@
     /// What the leader has found out about the weight store; absent if unknown.
     #[prost(message, optional, tag = "23")]
     pub store: Option<StoreReport>,
+    /// Rates of prompts that the leader has adapted; empty when unchanged.
+    #[prost(message, repeated, tag = "24")]
+    pub rates: Vec<RateReport>,
     /// More fields, as a compressed notice.
     #[prost(bytes = "bytes", tag = "25")]
     pub packed: Bytes,
@@ -299,6 +305,18 @@
     pub unassigned_sparse: Option<SparseCounts>,
 }
 
+/// Rate at which prompts are admitted to each replica of a service.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct RateReport {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Prompt tokens a millisecond.
+    #[prost(double, tag = "2")]
+    pub tokens_per_ms: f64,
+}
+
 /// How long work takes at an upstream, as it has stated.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
--- a/crates/tanagershift/src/gateway/prompt_rate.rs
+++ b/crates/tanagershift/src/gateway/prompt_rate.rs
@@ -41,6 +41,8 @@
     explained: u32,
     late: u32,
     adapted_at: Instant,
+    /// Whether it follows observations, this leader's or an earlier one's.
+    is_adapted: bool,
 }
 
 impl PromptRate {
@@ -53,9 +55,28 @@
             explained: 0,
             late: 0,
             adapted_at: now,
+            is_adapted: false,
         }
     }
 
+    /// Continues from the rate that an earlier leader has adapted.
+    pub fn resumed(tokens_per_ms: f64, now: Instant) -> Self {
+        let tokens_per_ms = match tokens_per_ms.is_finite() {
+            true => tokens_per_ms.clamp(MIN_TOKENS_PER_MS, MAX_TOKENS_PER_MS),
+            false => INITIAL_TOKENS_PER_MS,
+        };
+        Self {
+            tokens_per_ms,
+            is_adapted: true,
+            ..Self::new(now)
+        }
+    }
+
+    /// Whether the rate follows observations.
+    pub fn is_adapted(&self) -> bool {
+        self.is_adapted
+    }
+
     /// Prompt tokens that a replica is assigned per millisecond.
     pub fn tokens_per_ms(&self) -> f64 {
         self.tokens_per_ms
@@ -107,10 +128,6 @@
             false if late > tolerated => INCREASE_FACTOR,
             _ => 1.0,
         };
-        *self = Self {
-            tokens_per_ms: (self.tokens_per_ms * factor)
-                .clamp(MIN_TOKENS_PER_MS, MAX_TOKENS_PER_MS),
-            ..Self::new(now)
-        };
+        *self = Self::resumed(self.tokens_per_ms * factor, now);
     }
 }
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -22,7 +22,7 @@
     cost::{Cost, Lengths, Need, Offer},
     fair_use::FairUse,
     limit::Limits,
-    message::Streams,
+    message::{RateReport, Streams},
     overload::Overloads,
     pace::{Estimate, Paces},
     prompt_rate::PromptRate,
@@ -141,6 +141,29 @@
         }
     }
 
+    /// Rates that were adapted to observations.
+    pub fn rate_reports(&self) -> Vec<RateReport> {
+        let adapted = self
+            .prompt_rates
+            .iter()
+            .filter(|(_, rate)| rate.is_adapted());
+        let report = |(service, rate): (&String, &PromptRate)| RateReport {
+            service: service.clone(),
+            tokens_per_ms: rate.tokens_per_ms(),
+        };
+        adapted.map(report).collect()
+    }
+
+    /// Continues from the rates that an earlier leader has adapted, where this one has adapted none.
+    pub fn resume_rates(&mut self, reports: &[RateReport], now: Instant) {
+        for report in reports {
+            let rate = self.prompt_rate(&report.service, now);
+            if !rate.is_adapted() {
+                *rate = PromptRate::resumed(report.tokens_per_ms, now);
+            }
+        }
+    }
+
     /// Prompt rate of each service in tokens per millisecond, for the log.
     pub fn rates(&self) -> Vec<f64> {
         self.prompt_rates
--- a/crates/tanagershift/src/gateway/scheduler_tests.rs
+++ b/crates/tanagershift/src/gateway/scheduler_tests.rs
@@ -6,7 +6,7 @@
 
 use super::{
     limit::Limits,
-    message::LimitReport,
+    message::{LimitReport, RateReport, Streams},
     prompt_rate::PromptRate,
     quarantine::Ledger,
     scheduler::{self, Candidate, Decision, Job, Pauses, PromptPart, Scheduler},
@@ -367,3 +367,35 @@
     assert!((10..=21).contains(&limited), "{limited} in 10 s");
     assert!(assigned.len() >= 95, "{} of 100", assigned.len());
 }
+
+// A leader is lost under load: the next one admits prompts at the rate that was found, not at the initial one.
+#[test]
+fn a_new_leader_continues_with_the_rates_of_the_last() {
+    let now = Instant::now();
+    let mut last = Scheduler::new(scheduler::Config::default());
+    let mut later = now;
+    for _ in 0..20 {
+        later += Duration::from_millis(600);
+        let streams = Streams {
+            service: "llm".to_owned(),
+            ended: 30,
+            gap_exceeded: 15,
+            ..Streams::default()
+        };
+        last.count_streams(&streams, later);
+        last.adapt(later);
+    }
+    let reports = last.rate_reports();
+    assert!(reports[0].tokens_per_ms < 8.0, "{reports:?}");
+    let mut next = Scheduler::new(scheduler::Config::default());
+    assert_eq!(next.rate_reports(), []);
+    next.resume_rates(&reports, later);
+    assert_eq!(next.rate_reports(), reports);
+    // What this leader has found out itself is not replaced.
+    let older = RateReport {
+        tokens_per_ms: 40.0,
+        ..reports[0].clone()
+    };
+    next.resume_rates(&[older], later);
+    assert_eq!(next.rate_reports(), reports);
+}
--- a/crates/tanagershift/src/gateway/view.rs
+++ b/crates/tanagershift/src/gateway/view.rs
@@ -15,8 +15,8 @@
     fleet::{list, receiver::KnownList},
     limit::Permits,
     message::{
-        Baseline, Counts, Demand, List, ListChanges, Notice, Pause, Rejections, Residency,
-        ServiceDemand, SparseCounts, StoreReport, Upstream,
+        Baseline, Counts, Demand, List, ListChanges, Notice, Pause, RateReport, Rejections,
+        Residency, ServiceDemand, SparseCounts, StoreReport, Upstream,
     },
     pace::Paces,
     placement::FIRST_VERSION,
@@ -129,6 +129,8 @@
     pub paces: Paces,
     /// What the last leader has told about the weight store.
     pub store: Option<StoreReport>,
+    /// Rates of prompts that the last leader has told.
+    pub rates: Vec<RateReport>,
     /// Whether a leader has sent all residencies since this process started.
     has_snapshot: bool,
     /// Number of the watch of a leader; requests that were assigned in an earlier one are unknown to the
@@ -189,6 +191,9 @@
             self.has_snapshot = true;
         }
         self.store = notice.store.or(self.store);
+        if !notice.rates.is_empty() {
+            self.rates.clone_from(&notice.rates);
+        }
         for announcement in &notice.announced {
             self.apply_announcement(&announcement.adapter, announcement.version, now);
         }
