prompt cache: an unloaded adapter takes its prompts along

Change: parts are dropped when the replica unloads the adapter or loads another version of it. Result: the test of an adapter that comes back passes.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -57,7 +57,7 @@
     dialect::{OrderOutcome, Report},
     fleet::{backlog::Backlog, counts::ToldCounts},
     limit::Limits,
-    message::{Ask, Key, List, Mark, Notice, RateReport, Tally, Upstream, Watch},
+    message::{Ask, Key, List, Mark, Notice, RateReport, Residency, Tally, Upstream, Watch},
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
@@ -524,6 +524,10 @@
         let changes = state.placement.take_changes();
         state.notify_waiting_gateways(&changes);
         for change in changes {
+            let Residency {
+                replica, adapter, ..
+            } = &change;
+            state.scheduler.forget_adapter(replica, adapter);
             state.residency_changes.add(change);
         }
         if now >= state.next_notice {
--- a/crates/tanagershift/src/gateway/prompt_cache.rs
+++ b/crates/tanagershift/src/gateway/prompt_cache.rs
@@ -3,7 +3,10 @@
 //! A replica keeps the parts of the prompts that it has read until their memory is needed, and the
 //! least recently used parts yield first. What was assigned to it since says which those are.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
 use tokio::time::{Duration, Instant};
 
@@ -17,6 +20,8 @@
 /// A part that a replica has read.
 #[derive(Clone, Copy, Debug)]
 struct Kept {
+    /// Hash of the adapter or base model that it was read for.
+    adapter: u64,
     tokens: u32,
     /// Number of its last use.
     used: u64,
@@ -46,13 +51,15 @@
         kept.fold(0, |sum, part| sum.saturating_add(part.tokens))
     }
 
-    /// Records a use of all parts of a prompt.
-    pub fn touch(&mut self, parts: &[PromptPart], now: Instant) {
+    /// Records a use of all parts of a prompt that is read for an adapter, or for the base model.
+    pub fn touch(&mut self, adapter: Option<&str>, parts: &[PromptPart], now: Instant) {
+        let adapter = hash(adapter);
         // The last part comes first, since a part is of no use without those before it.
         for part in parts.iter().rev() {
             let used = self.next_use;
             self.next_use += 1;
             let kept = Kept {
+                adapter,
                 tokens: part.tokens,
                 used,
                 used_at: now,
@@ -78,6 +85,16 @@
         }
     }
 
+    /// Drops all parts that were read for an adapter, since the replica unloads it or loads another version.
+    pub fn forget(&mut self, adapter: &str) {
+        let adapter = hash(Some(adapter));
+        let dropped = self.parts.extract_if(|_, kept| kept.adapter == adapter);
+        for (_, kept) in dropped {
+            self.order.remove(&kept.used);
+            self.tokens -= u64::from(kept.tokens);
+        }
+    }
+
     fn evict(&mut self) {
         if let Some((_, digest)) = self.order.pop_first()
             && let Some(kept) = self.parts.remove(&digest)
@@ -86,3 +103,9 @@
         }
     }
 }
+
+fn hash(adapter: Option<&str>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    adapter.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/tanagershift/src/gateway/prompt_cache_tests.rs
+++ b/crates/tanagershift/src/gateway/prompt_cache_tests.rs
@@ -19,7 +19,7 @@
 fn the_least_recently_used_parts_yield() {
     let (now, mut cache) = (Instant::now(), PromptCache::default());
     for own in 0..1000 {
-        cache.touch(&prompt(&[1, 2, 100 + own]), now);
+        cache.touch(Some("m/a"), &prompt(&[1, 2, 100 + own]), now);
         cache.shrink(1000, 500);
     }
     assert_eq!(cache.kept_tokens(&prompt(&[1, 2, 5000]), 1000, now), 200);
@@ -31,7 +31,7 @@
 #[test]
 fn parts_are_kept_while_there_is_memory() {
     let (now, mut cache) = (Instant::now(), PromptCache::default());
-    cache.touch(&prompt(&[1, 2]), now);
+    cache.touch(Some("m/a"), &prompt(&[1, 2]), now);
     cache.shrink(1000, 700);
     let later = now + Duration::from_secs(600);
     assert_eq!(cache.kept_tokens(&prompt(&[1, 2]), 1000, later), 200);
@@ -47,7 +47,7 @@
 #[test]
 fn only_whole_beginnings_count() {
     let (now, mut cache) = (Instant::now(), PromptCache::default());
-    cache.touch(&prompt(&[1, 2, 3]), now);
+    cache.touch(Some("m/a"), &prompt(&[1, 2, 3]), now);
     assert_eq!(cache.kept_tokens(&prompt(&[9, 2, 3]), 1000, now), 0);
     assert_eq!(cache.kept_tokens(&prompt(&[1, 9, 3]), 1000, now), 100);
 }
@@ -57,9 +57,22 @@
 fn an_unknown_memory_is_bounded() {
     let (now, mut cache) = (Instant::now(), PromptCache::default());
     for digest in 0..20_000 {
-        cache.touch(&prompt(&[digest]), now);
+        cache.touch(Some("m/a"), &prompt(&[digest]), now);
         cache.shrink(0, 100);
     }
     assert_eq!(cache.kept_tokens(&prompt(&[0]), 0, now), 0);
     assert_eq!(cache.kept_tokens(&prompt(&[19_999]), 0, now), 100);
 }
+
+/// Demand moves on: an adapter is unloaded, and what was kept for it is gone when it comes back.
+#[test]
+fn an_unloaded_adapter_takes_its_prompts_along() {
+    let (now, mut cache) = (Instant::now(), PromptCache::default());
+    cache.touch(Some("m/a"), &prompt(&[1, 2]), now);
+    cache.touch(Some("m/b"), &prompt(&[11, 12]), now);
+    cache.forget("m/a");
+    assert_eq!(cache.kept_tokens(&prompt(&[1, 2]), 1000, now), 0);
+    assert_eq!(cache.kept_tokens(&prompt(&[11, 12]), 1000, now), 200);
+    cache.shrink(100, 0);
+    assert_eq!(cache.kept_tokens(&prompt(&[11, 12]), 1000, now), 100);
+}
--- a/crates/tanagershift/src/gateway/replica_load.rs
+++ b/crates/tanagershift/src/gateway/replica_load.rs
@@ -73,10 +73,15 @@
         job.prompt_tokens.saturating_sub(kept)
     }
 
+    /// Drops what is kept for an adapter that the replica unloads or replaces.
+    pub fn forget(&mut self, adapter: &str) {
+        self.cache.forget(adapter);
+    }
+
     /// Adds a job that is assigned.
     pub fn add(&mut self, job: &Job, capacity: u32, now: Instant) {
         self.jobs.insert(job.number, Memory::new(job));
-        self.cache.touch(&job.parts, now);
+        self.cache.touch(job.adapter.as_deref(), &job.parts, now);
         let running = self.jobs.values();
         let running = running.map(|memory| u64::from(memory.beside_parts)).sum();
         self.cache.shrink(capacity, running);
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -248,6 +248,13 @@
         self.waiting.len()
     }
 
+    /// Records that a replica unloads or replaces an adapter, and with it what it kept of prompts.
+    pub fn forget_adapter(&mut self, replica: &str, adapter: &str) {
+        if let Some(load) = self.loads.get_mut(replica) {
+            load.forget(adapter);
+        }
+    }
+
     /// Drops the loads of all replicas that are no longer listed.
     pub fn retain_replicas(&mut self, listed: impl Fn(&str) -> bool) {
         self.loads.retain(|name, _| listed(name));
