quota: count requests over all hosts together

Change: the leader keeps a bucket for each account and counts requests that ask it, plain ones too; over the quota they get 429, with a Retry-After behind those that were told to return before. What is not sent gives its units back, and what is sent again isn't counted again. Without quotas nothing is sent or counted.

--- a/crates/tanagershift/src/gateway/ask.rs
+++ b/crates/tanagershift/src/gateway/ask.rs
@@ -59,17 +59,23 @@
     Unanswered,
 }
 
-/// Asks the leader to assign a replica to a job; `excluded` names the replicas that must not get it.
+/// Asks the leader to assign a replica to a job; `excluded` names the replicas that must not get it, and
+/// `is_counted` says whether it was counted against its account's quota before.
 pub async fn ask(
     gateway: &Gateway,
     job: &Job,
     resumption: &Resumption,
     excluded: &[String],
+    is_counted: bool,
 ) -> Answer {
     if !gateway.heard_leader_within(LEADER_SILENCE_LIMIT) {
         return Answer::NoLeader;
     }
-    let body = Body::Ask(ask_message(gateway, job, resumption, excluded));
+    let message = Ask {
+        is_counted,
+        ..ask_message(gateway, job, resumption, excluded)
+    };
+    let body = Body::Ask(message);
     let opened = timeout(CONNECT_TIMEOUT, gateway.leader.call(body)).await;
     let Ok(Some(mut call)) = opened else {
         return Answer::NoLeader;
@@ -92,8 +98,12 @@
         return Answer::Allowed(call);
     }
     if grant.replica.is_empty() {
+        let after = Duration::from_millis(grant.retry_after_ms);
+        if grant.is_over_quota {
+            return Answer::Refused(Rejection::over_quota(grant.reason, after));
+        }
         let mut rejection = Rejection::retry_later(grant.reason);
-        rejection.retry_after = Some(Duration::from_millis(grant.retry_after_ms));
+        rejection.retry_after = Some(after);
         return Answer::Refused(rejection);
     }
     let upstream = gateway.view().upstream(&grant.replica);
--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -130,6 +130,11 @@
     fn apply(&self, notice: Notice) -> Result<(), String> {
         let now = Instant::now();
         self.gateway.last_notice_at.send_replace(Some(now));
+        if notice.term > 0 {
+            let now = clock::corrected(now);
+            let mut allowance = self.gateway.allowance();
+            allowance.record_notice(notice.term, notice.quota_part, now);
+        }
         if notice.interval_ms > 0 {
             let interval = Duration::from_millis(notice.interval_ms.into());
             self.gateway.notice_interval.send_replace(interval);
@@ -212,6 +217,8 @@
             let started = Instant::now();
             let _ = timeout(interval, self.gateway.tally_wanted.notified()).await;
             sleep(MIN_TALLY_INTERVAL.saturating_sub(started.elapsed())).await;
+            let has_quotas = self.gateway.has_quotas();
+            let gift = has_quotas.then(|| self.gateway.allowance().report(clock::now()));
             let tally = {
                 let mut view = self.gateway.view();
                 Tally {
@@ -231,6 +238,7 @@
                     brittle: view.shares.take_reports(Instant::now()),
                     rejections: view.take_rejections(),
                     unassigned: Some(view.unassigned_open()),
+                    gift,
                     reach: Some(ReachReport {
                         is_cut_off: self.gateway.reach.lock().is_cut_off(),
                         is_draining: self.gateway.is_draining(),
--- a/crates/tanagershift/src/gateway/configuration.rs
+++ b/crates/tanagershift/src/gateway/configuration.rs
@@ -298,6 +298,11 @@
         })
     }
 
+    /// Whether any account has a quota.
+    pub fn has_quotas(&self) -> bool {
+        self.accounts.iter().any(|account| account.quota.is_some())
+    }
+
     /// Rank of a request among all others; zero is the most urgent. The account's priority goes before
     /// the route's.
     pub fn rank(&self, route: &Route, account: Option<&account::Account>) -> u8 {
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -78,6 +78,14 @@
         }
     }
 
+    /// Rejects a request that did not run since its account has used its quota.
+    pub fn over_quota(reason: impl Into<String>, retry_after: Duration) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            ..Self::new(StatusCode::TOO_MANY_REQUESTS, reason)
+        }
+    }
+
     /// Rejects a request that does not run since it, or a part of its prompt, may crash replicas.
     pub fn quarantined(standing: Standing) -> Self {
         let (reason, after) = match standing {
@@ -136,6 +144,8 @@
     /// Whether an attempt may have run. If so, a later refusal does not prove that the request did not
     /// run.
     pub may_have_run: bool,
+    /// Whether the request was counted against its account's quota.
+    pub is_counted: bool,
 }
 
 /// Handles a caller's request, and returns the response to the caller. `trace` records the
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -10,6 +10,7 @@
 //! * `queue`: queues gateways' requests for a replica and answers them.
 //! * `limits`: spreads upstreams' limits, and hands out permits.
 //! * `notices`: messages to and from gateways.
+//! * `quota`: counts requests against the quotas of client accounts.
 //! * `reachability`: finds replicas that are gone.
 //! * `quarantine`: rules on suspected requests, spreads and replicates the marks.
 //! * `software`: lets streams go on at the software version that began them.
@@ -23,6 +24,7 @@
 mod notices;
 mod quarantine;
 mod queue;
+mod quota;
 mod reachability;
 mod software;
 #[cfg(test)]
@@ -44,6 +46,7 @@
 use configuration_history::ConfigurationHistory;
 use gateways::{GatewayState, Watcher};
 use helpers::hand_over_if_cut_off;
+use quota::Payment;
 use reachability::Checks;
 
 use super::{
@@ -54,13 +57,14 @@
     message::{Ask, Key, List, Mark, Notice, Residency, Tally, Upstream, Watch},
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
+    quota::ledger as quota_ledger,
     scheduler::{self, JobNumber, Pauses, Scheduler},
     settings::Config,
     upstream_list,
 };
 use crate::{
     admission::Admission,
-    id,
+    clock, id,
     link::Responder,
     voter::{
         driver,
@@ -132,6 +136,8 @@
     id: String,
     responder: Responder,
     received_at: Instant,
+    /// What was spent of an account's quota.
+    payment: Option<Payment>,
 }
 
 /// State that is kept only while this voter leads.
@@ -169,6 +175,8 @@
     limits: Limits,
     /// Bounds on open requests at brittle upstreams.
     ceilings: Ceilings,
+    /// Client accounts' quotas.
+    quotas: quota_ledger::Ledger,
     /// Software versions of streams.
     software: software::State,
     /// Evidence against prompt parts and requests that crash replicas.
@@ -333,6 +341,7 @@
             if let Some(configuration) = self.gateway.read_document(document) {
                 state.placement.configure(&configuration, Instant::now());
                 state.software.configure(&configuration);
+                state.configure_quotas(&configuration, Instant::now());
                 let services = configuration.services.values();
                 let token_capacity = services.filter_map(|service| {
                     Some((service.name.clone(), service.engine.as_ref()?.kv_tokens))
@@ -403,6 +412,7 @@
             checks: Checks::default(),
             limits: Limits::default(),
             ceilings: Ceilings::new(self.gateway.view().hosts, now),
+            quotas: quota_ledger::Ledger::new(term, term == FIRST_TERM, clock::corrected(now)),
             software: software::State::new(term, &status.streams, self.config.take_up_margin),
             ledger: Ledger::new(self.config.quarantine.clone(), &status.marks, now),
             replicated_marks: status.marks.clone(),
@@ -435,7 +445,11 @@
                 state.add_watcher(watch, responder, now);
             }
             Input::Tally(tally) => state.record_tally(tally, &self.gateway.host, now),
-            Input::Ask(ask, responder) => state.queue_request(ask, responder, now),
+            Input::Ask(ask, responder) => {
+                // Without the lease, another leader may count requests.
+                let leads = self.voter_status.may_order();
+                state.admit(ask, leads, responder, now);
+            }
             Input::List(upstreams) => state.update_list(upstreams, now),
             Input::Ordered(term, replica, number, outcome) if term == state.term => {
                 state
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -65,6 +65,7 @@
             baselines: self.baselines(),
             helpers: Vec::new(),
             brittle: self.ceilings.reports(),
+            quota_part: 0.0,
         };
         log::info!(
             "event=hub.watch host={} session={:016x}",
@@ -115,6 +116,7 @@
         self.record_evidence(&tally, now);
         self.record_limits(&tally, now);
         self.record_brittle(&tally, now);
+        self.record_gift(&tally, now);
         let crashed = tally.accusations.iter().map(|one| &one.upstream);
         for replica in tally.unreachable.iter().chain(crashed) {
             self.checks.request(replica, now);
@@ -364,9 +366,11 @@
                 self.placement.summary()
             );
         }
+        let quota_part = self.quota_part(now);
         self.broadcast(&Notice {
             residencies,
             open: Some(open),
+            quota_part,
             ..Notice::default()
         });
     }
--- a/crates/tanagershift/src/gateway/hub/quarantine.rs
+++ b/crates/tanagershift/src/gateway/hub/quarantine.rs
@@ -78,6 +78,7 @@
                     id: ask.request.clone(),
                     responder,
                     received_at: now,
+                    payment: None,
                 };
                 self.requests.insert(number, request);
             }
--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{LeaderState, ReplicaRequest, TICK_INTERVAL, software};
+use super::{LeaderState, Payment, ReplicaRequest, TICK_INTERVAL, software};
 use crate::{
     gateway::{
         message::{Ask, Demand, Grant, Upstream},
@@ -27,12 +27,15 @@
 impl LeaderState {
     /// Queues a request for a replica; refuses it if its adapter cannot be loaded before the caller
     /// gives up.
-    pub(super) fn queue_request(&mut self, ask: Ask, responder: Responder, now: Instant) {
-        if ask.model.is_empty() && !ask.is_bounded {
-            return self.rule_on_unassigned(&ask, responder, now);
-        }
+    pub(super) fn queue_request(
+        &mut self,
+        ask: Ask,
+        payment: Option<Payment>,
+        responder: Responder,
+        now: Instant,
+    ) {
         if ask.model.is_empty() {
-            return self.add_request(ask, None, responder, now);
+            return self.add_request(ask, None, payment, responder, now);
         }
         let wanted = if ask.adapter.is_empty() {
             &ask.model
@@ -48,6 +51,7 @@
         let required = match self.required_software(&ask, now) {
             Ok(required) => required,
             Err(refusal) => {
+                self.give_back(payment, now);
                 self.software.count_refusal();
                 return refuse_take_up(&ask, refusal, responder);
             }
@@ -55,10 +59,11 @@
         let patience = Duration::from_millis(ask.give_up_ms);
         let wait = self.placement.load_wait(wanted, self.orders_from, now);
         if let Some(wait) = wait.filter(|wait| *wait > patience) {
+            self.give_back(payment, now);
             self.refuse_late_load(&ask, wait, responder);
             return;
         }
-        self.add_request(ask, required, responder, now);
+        self.add_request(ask, required, payment, responder, now);
     }
 
     /// Queues a request that must run at a software version, if one is given.
@@ -66,6 +71,7 @@
         &mut self,
         ask: Ask,
         required: Option<id::Software>,
+        payment: Option<Payment>,
         responder: Responder,
         now: Instant,
     ) {
@@ -75,6 +81,7 @@
             id: ask.request.clone(),
             responder,
             received_at: now,
+            payment,
         };
         self.requests.insert(number, request);
         self.scheduler.add(job_from_ask(number, ask, required, now));
@@ -133,9 +140,14 @@
     }
 
     pub(super) fn end_request(&mut self, number: JobNumber, now: Instant) {
-        self.requests.remove(&number);
+        let request = self.requests.remove(&number);
         self.ledger.end_trial(number, now);
-        if let Some(running) = self.scheduler.end_job(number)
+        let running = self.scheduler.end_job(number);
+        if running.is_none() {
+            // It was not sent.
+            self.give_back(request.and_then(|request| request.payment), now);
+        }
+        if let Some(running) = running
             && let Some(adapter) = &running.adapter
         {
             self.placement.count_use(&running.replica, adapter, false);
@@ -286,6 +298,7 @@
                     return;
                 };
                 log::info!("event=schedule.bar request={}", request.id);
+                self.give_back(request.payment, now);
                 request.responder.finish_now(Body::Grant(Grant {
                     retry_after_ms: quarantine::CONVICTED_RETRY_AFTER.as_millis() as u64,
                     reason: quarantine::CONVICTED_REASON.to_owned(),
@@ -345,6 +358,7 @@
             reason: reason.to_owned(),
             ..Grant::default()
         }));
+        self.give_back(request.payment, now);
         self.end_request(number, now);
     }
 }
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -8,6 +8,7 @@
 pub use super::concurrency::message::{BrittleReport, Rejections};
 pub use super::detour_message::{Helper, ReachReport, Tunnel, TunnelOutcome};
 use super::patch::Patch;
+pub use super::quota::Gift;
 pub use crate::voter::{
     command::{Announcement, Document, Key, Mark},
     software::Baseline,
@@ -100,6 +101,10 @@
     /// are.
     #[prost(message, repeated, tag = "18")]
     pub brittle: Vec<BrittleReport>,
+    /// Part of every account's quota that the receiving gateway may use without a leader; zero when
+    /// unchanged.
+    #[prost(double, tag = "19")]
+    pub quota_part: f64,
 }
 
 /// The platform's list of upstreams.
@@ -251,6 +256,9 @@
     /// host reports.
     #[prost(message, optional, tag = "17")]
     pub unassigned: Option<Counts>,
+    /// Time that the gateway gives to the leader for accounts' quotas; absent if no account has one.
+    #[prost(message, optional, tag = "18")]
+    pub gift: Option<Gift>,
 }
 
 /// How many requests an upstream takes from all hosts together.
@@ -513,4 +521,7 @@
     /// Whether the gateway selects the upstream.
     #[prost(bool, tag = "6")]
     pub is_unassigned: bool,
+    /// Whether the request is refused since its account has used its quota.
+    #[prost(bool, tag = "7")]
+    pub is_over_quota: bool,
 }
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! * `signal`: applies what upstreams' answers say about further requests.
 //! * `quarantine`: finds prompt parts that crash replicas, and keeps their requests away.
 //! * `concurrency`: bounds the requests that are open at brittle upstreams.
+//! * `quota`: how much client accounts use, over all hosts together.
 //! * `limit`: request rates that upstreams in need have named.
 //! * `overload`: which late requests of a plain service are refused early.
 //! * `connect`: connects to upstreams, directly or through another host (`tunnel`, `tunnel_stream`);
@@ -64,6 +65,7 @@
 pub mod progress;
 pub mod prompt_rate;
 pub mod quarantine;
+pub mod quota;
 pub mod reach;
 #[cfg(test)]
 mod reach_tests;
@@ -99,7 +101,7 @@
     time::{Instant, sleep_until},
 };
 
-use crate::{follower::Leader, id, verdict::Verdict};
+use crate::{clock, follower::Leader, id, verdict::Verdict};
 use configuration::Configuration;
 use connection::Pool;
 use dialect::Dialect;
@@ -108,6 +110,7 @@
 use metrics::Metrics;
 use progress::Progress;
 use quarantine::Register;
+use quota::allowance::Allowance;
 use relay::StreamTiming;
 use retry_budget::RetryBudget;
 use view::View;
@@ -162,6 +165,7 @@
     view: Mutex<View>,
     budget: Mutex<RetryBudget>,
     quarantine: Mutex<Register>,
+    allowance: Mutex<Allowance>,
     configuration_text: Mutex<Option<(u64, Bytes)>>,
     streams: Mutex<BTreeMap<String, message::Streams>>,
 }
@@ -200,6 +204,7 @@
             view: Mutex::new(View::new(version_bound)),
             budget: Mutex::new(RetryBudget::new(budget)),
             quarantine: Mutex::default(),
+            allowance: Mutex::new(Allowance::new(clock::now())),
             configuration_text: Mutex::default(),
             streams: Mutex::default(),
         }
@@ -222,6 +227,40 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what the gateway may spend of accounts' quotas without a leader.
+    pub fn allowance(&self) -> MutexGuard<'_, Allowance> {
+        self.allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Spends what a request costs out of this host's part of its account's quota. Returns whether the
+    /// request may be sent.
+    pub fn try_spend_alone(&self, job: &Job) -> bool {
+        let Some(account) = job.caller.account() else {
+            return true;
+        };
+        let Some(quota) = &account.quota else {
+            return true;
+        };
+        let (interval, now) = (*self.notice_interval.borrow(), clock::now());
+        let mut allowance = self.allowance();
+        allowance.try_spend(
+            &account.name,
+            quota,
+            job.cost(),
+            interval,
+            now,
+            &mut rand::rng(),
+        )
+    }
+
+    /// Whether the configuration in force limits any account.
+    pub fn has_quotas(&self) -> bool {
+        let configuration = self.view().configuration.clone();
+        configuration.is_some_and(|configuration| configuration.has_quotas())
+    }
+
     /// Whether the host is shutting down.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -23,6 +23,8 @@
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after which a gateway without a leader looks again for a free place at brittle upstreams.
 const PLACE_RECHECK: Duration = Duration::from_millis(20);
+/// Why a request is refused that cannot be counted against its account's quota.
+const UNCOUNTED_REASON: &str = "the quota of the account is not known without a leader";
 /// Why a stream is refused that may have to run at one of several software versions.
 const UNKNOWN_SOFTWARE_REASON: &str =
     "the software version of the stream is not known without a leader";
@@ -54,8 +56,9 @@
         }
     }
     let software = required_software(gateway, job, resumption)?;
-    let mut leave = ask_leave(gateway, job, began).await?;
+    let mut leave = ask_leave(gateway, job, trace, began).await?;
     let is_trial = leave.is_some();
+    pay(gateway, job, trace).await?;
     gateway.view().count_limited_demand(&job.service);
     let startup_until = job.received_at + STARTUP_WAIT.min((job.deadline - job.received_at) / 2);
     let mut wait_guard: Option<AdapterWaitGuard> = None;
@@ -162,7 +165,7 @@
         };
         let needs_leader = || needs_leader(gateway, job, resumption, trace);
         let lost_at = *lost_at.get_or_insert_with(Instant::now);
-        let until = match (needs_leader(), waits_for_leader(gateway, job)) {
+        let until = match (needs_leader(), waits_for_leader(gateway, job, trace)) {
             (true, _) => job.deadline.min(lost_at + LEADER_WAIT),
             (false, Some(until)) if !is_answered => until,
             (false, _) => return Ok(None),
@@ -178,10 +181,11 @@
     }
 }
 
-/// Until when a request to brittle upstreams waits for the next leader, if one was lost a moment ago: until
-/// then others may have requests there that this host does not know of.
-fn waits_for_leader(gateway: &Gateway, job: &Job) -> Option<Instant> {
-    if !gateway.view().shares.is_bounded(&job.service) {
+/// Until when a request waits for the next leader, if one was lost a moment ago: to brittle upstreams, since
+/// others may have requests there that this host does not know of, and until it is counted against its
+/// account's quota.
+fn waits_for_leader(gateway: &Gateway, job: &Job, trace: &Trace) -> Option<Instant> {
+    if !gateway.view().shares.is_bounded(&job.service) && !must_pay(job, trace) {
         return None;
     }
     let lost_at = (*gateway.last_notice_at.borrow())?;
@@ -248,6 +252,48 @@
     }
 }
 
+/// Whether a request must still be counted against its account's quota.
+fn must_pay(job: &Job, trace: &Trace) -> bool {
+    !trace.is_counted && job.cost() > 0
+}
+
+/// Counts a request that this gateway selects an upstream for against its account's quota: at the leader or,
+/// without one, out of this host's part.
+///
+/// # Errors
+///
+/// The quota is used, or no leader can count the request and this host's part does not suffice.
+async fn pay(gateway: &Arc<Gateway>, job: &Job, trace: &mut Trace) -> Result<(), Rejection> {
+    if !must_pay(job, trace) {
+        return Ok(());
+    }
+    // Leaders count requests that they assign, and could not be asked for one.
+    let is_plain = job.head.model.is_none() && !gateway.view().shares.is_bounded(&job.service);
+    let mut notices = gateway.last_notice_at.subscribe();
+    loop {
+        notices.mark_unchanged();
+        if is_plain {
+            match ask(gateway, job, &Resumption::default(), &[], false).await {
+                Answer::Refused(rejection) => return Err(rejection),
+                Answer::Allowed(_) | Answer::Granted { .. } => trace.is_counted = true,
+                Answer::NoLeader | Answer::Unanswered => {}
+            }
+        }
+        if !trace.is_counted && gateway.try_spend_alone(job) {
+            trace.is_counted = true;
+        }
+        if trace.is_counted {
+            return Ok(());
+        }
+        let until = waits_for_leader(gateway, job, trace).filter(|_| is_plain);
+        let Some(until) = until else {
+            return Err(Rejection::retry_later(UNCOUNTED_REASON));
+        };
+        // However the wait ends, the request is counted if it can be.
+        let _ = timeout_at(until, notices.changed()).await;
+    }
+}
+
 /// Asks the leader whether a suspected request may run on an upstream that this gateway selects.
 /// Returns `None` if the request is not suspected, or else the call that stays open while it runs.
 ///
@@ -257,18 +303,25 @@
 async fn ask_leave(
     gateway: &Arc<Gateway>,
     job: &Job,
+    trace: &mut Trace,
     now: Instant,
 ) -> Result<Option<Call>, Rejection> {
     let standing = gateway.quarantine().standing_alone(&job.keys, now);
     let rejection = match (standing, &job.head.model) {
         (Standing::Clear, _) => return Ok(None),
-        (Standing::Suspected, None) => match ask(gateway, job, &Resumption::default(), &[]).await {
-            Answer::Allowed(call) => return Ok(Some(call)),
-            Answer::Refused(rejection) => rejection,
-            Answer::Granted { .. } | Answer::NoLeader | Answer::Unanswered => {
-                Rejection::quarantined(standing)
+        (Standing::Suspected, None) => {
+            let resumption = Resumption::default();
+            match ask(gateway, job, &resumption, &[], trace.is_counted).await {
+                Answer::Allowed(call) => {
+                    trace.is_counted = true;
+                    return Ok(Some(call));
+                }
+                Answer::Refused(rejection) => rejection,
+                Answer::Granted { .. } | Answer::NoLeader | Answer::Unanswered => {
+                    Rejection::quarantined(standing)
+                }
             }
-        },
+        }
         // The leader assigns requests that name a model, and could not be asked.
         (Standing::Suspected, Some(_)) | (Standing::Convicted, _) => {
             Rejection::quarantined(standing)
@@ -323,13 +376,14 @@
         if paused.is_some() {
             return Ok(Asked::Unassigned { is_answered: true });
         }
-        match ask(gateway, job, resumption, &excluded).await {
+        match ask(gateway, job, resumption, &excluded, trace.is_counted).await {
             Answer::Granted {
                 upstream,
                 version,
                 call,
                 is_trial,
             } => {
+                trace.is_counted = true;
                 let access = gateway
                     .view()
                     .admission
@@ -360,7 +414,10 @@
             }
             Answer::NoLeader => return Ok(Asked::Unassigned { is_answered: false }),
             // A leader of an older version does not assign requests of plain services.
-            Answer::Allowed(_) => return Ok(Asked::Unassigned { is_answered: true }),
+            Answer::Allowed(_) => {
+                trace.is_counted = true;
+                return Ok(Asked::Unassigned { is_answered: true });
+            }
         }
     }
 }
