--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -154,6 +154,11 @@
             self.gateway.quarantine().replace(&notice.marks);
         }
         self.gateway.last_notice_at.send_replace(Some(now));
+        if notice.term > 0 {
+            let now = clock::corrected(now);
+            let mut allowance = self.gateway.allowance();
+            allowance.record_notice(notice.term, notice.quota_part, now);
+        }
         if notice.interval_ms > 0 {
             let interval = Duration::from_millis(notice.interval_ms.into());
             self.gateway.notice_interval.send_replace(interval);
@@ -238,6 +243,8 @@
             let _ = timeout(interval, self.gateway.tally_wanted.notified()).await;
             let shortest = MIN_TALLY_INTERVAL.max(interval / TALLIES_PER_INTERVAL);
             sleep(shortest.saturating_sub(started.elapsed())).await;
+            let has_quotas = self.gateway.has_quotas();
+            let gift = has_quotas.then(|| self.gateway.allowance().report(clock::now()));
             let tally = {
                 let mut view = self.gateway.view();
                 let (open, unassigned) = (view.report_open(), view.unassigned_open());
@@ -262,6 +269,7 @@
                     brittle: view.shares.take_reports(Instant::now()),
                     rejections: view.take_rejections(),
                     paces: view.paces.take_reports(Instant::now()),
+                    gift,
                     reach: Some(ReachReport {
                         is_cut_off: self.gateway.reach.lock().is_cut_off(),
                         is_draining: self.gateway.is_draining(),
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -139,6 +139,7 @@
         self.record_limits(&tally, now);
         self.record_brittle(&tally, now);
         self.record_paces(&tally.paces, now);
+        self.record_gift(&tally, now);
         let crashed = tally.accusations.iter().map(|one| &one.upstream);
         for replica in tally.unreachable.iter().chain(crashed) {
             self.checks.request(replica, now);
@@ -429,12 +430,14 @@
         if rates_changed {
             self.told_rates.clone_from(&rates);
         }
+        let quota_part = self.quota_part(Instant::now());
         let notice = Notice {
             residencies,
             open_changes: Some(open_changes),
             paces,
             rates: if rates_changed { rates } else { Vec::new() },
             store: self.store_report(),
+            quota_part,
             ..Notice::default()
         };
         self.broadcast_forms(&notice, || Notice {
--- a/crates/tanagershift/src/gateway/message.rs
+++ b/crates/tanagershift/src/gateway/message.rs
@@ -11,6 +11,7 @@
 pub use super::fleet::message::{ListChanges, SparseCounts};
 use super::patch::Patch;
 pub use super::placement::message::StoreReport;
+pub use super::quota::Gift;
 pub use crate::voter::{
     command::{Announcement, Document, Key, Mark},
     software::Baseline,
@@ -143,6 +144,10 @@
     /// notice of a watch does. The leader takes sparse tallies then.
     #[prost(bool, tag = "29")]
     pub is_whole: bool,
+    /// Part of every account's quota that the receiving gateway may use without a leader; zero when
+    /// unchanged.
+    #[prost(double, tag = "19")]
+    pub quota_part: f64,
 }
 
 /// The platform's list of upstreams.
@@ -303,6 +308,9 @@
     /// `unassigned` without its zeros, in its place.
     #[prost(message, optional, tag = "25")]
     pub unassigned_sparse: Option<SparseCounts>,
+    /// Time that the gateway gives to the leader for accounts' quotas; absent if no account has one.
+    #[prost(message, optional, tag = "18")]
+    pub gift: Option<Gift>,
 }
 
 /// Rate at which prompts are admitted to each replica of a service.
@@ -625,4 +633,7 @@
     /// Whether the gateway selects the upstream.
     #[prost(bool, tag = "6")]
     pub is_unassigned: bool,
+    /// Whether the request is refused since its account has used its quota.
+    #[prost(bool, tag = "7")]
+    pub is_over_quota: bool,
 }
