placement: further copies are planned once a pass, within the permits

Requests that wait at busy replicas ask for a further copy of their adapter with each tick, and each of these calls computed the expected work of the whole fleet, as long as less than half of the permits were in use. Since planned copies did not count there, it also planned without bound.

Change: one call for all adapters, which computes the expected work once and stops at the share of permits, planned loads included. A planning pass without budget ends early. That the limit is used counts planned loads.

The test of moved demand counts loads instead of orders: a poll of a load is an order too, and their number depends on the estimated load time.

--- a/crates/tanagershift/src/gateway/hub/queue.rs
+++ b/crates/tanagershift/src/gateway/hub/queue.rs
@@ -226,12 +226,14 @@
         let saturated = self.scheduler.saturated_groups(SATURATION_LIMIT, now);
         let saturated =
             saturated.filter_map(|group| Some((group.adapter.clone()?, group.software.clone())));
+        let mut wanting = Vec::new();
         for (adapter, software) in tried.into_iter().chain(saturated) {
             match software {
                 Some(software) => self.placement.load_at(&adapter, &software, now),
-                None => self.placement.scale_out(&adapter, now),
+                None => wanting.push(adapter),
             }
         }
+        self.placement.scale_out(wanting.iter(), now);
         self.scheduler.adapt(now);
         for decision in decisions {
             self.apply_decision(decision, now);
--- a/crates/tanagershift/src/gateway/placement/demand.rs
+++ b/crates/tanagershift/src/gateway/placement/demand.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::Instant;
 
-use super::{LoadRequest, MIN_PLAN_INTERVAL, Placement, Replica, State, is_model, model_of};
+use super::{
+    Adapter, LoadRequest, MIN_PLAN_INTERVAL, Placement, Replica, State, is_model, model_of,
+};
 use crate::gateway::message::Demand;
 
 impl Placement {
@@ -70,7 +72,7 @@
         }
         let ahead = match self.load_requests.contains_key(adapter) {
             true => 0,
-            false => self.load_requests.len() + self.store_loads,
+            false => self.load_requests.len() + self.last_permits.in_use(),
         };
         let rounds = ahead as f64 / self.store.limit(now).max(1) as f64;
         let until_orders = orders_from.saturating_duration_since(now);
@@ -100,23 +102,29 @@
         holders.any(|one| one.upstream.service == service && one.upstream.software == software)
     }
 
-    /// Plans a load of an adapter on one more replica because requests wait at the busy replicas
-    /// that have it. Does nothing while a load of it is planned or in progress, or while the store
-    /// is busy.
-    pub fn scale_out(&mut self, adapter: &str, now: Instant) {
-        let loading = |replica: &Replica| {
+    /// Plans loads of adapters on one more replica each because requests wait at the busy replicas
+    /// that have them. Skips those of which a load is planned or in progress, and stops when the store
+    /// is busy: adapters that no replica has take precedence.
+    pub fn scale_out<'a>(&mut self, adapters: impl Iterator<Item = &'a Adapter>, now: Instant) {
+        let loading = |replica: &Replica, adapter: &Adapter| {
             let slot = replica.slots.get(adapter);
             slot.is_some_and(|slot| matches!(slot.state, State::Planned | State::Loading { .. }))
         };
-        let (store_loads, limit) = (self.store_loads, self.store.limit(now));
-        // Adapters that no replica has take precedence.
-        let store_busy = match self.load_requests.is_empty() {
-            true => store_loads >= limit,
-            false => store_loads * 2 > limit,
+        let limit = match self.load_requests.is_empty() {
+            true => self.store.limit(now),
+            false => self.store.limit(now) / 2,
         };
-        if !store_busy && !self.replicas.values().any(loading) {
-            let mut expected = self.expected_work(now);
-            self.plan_load(adapter, &mut expected, now);
+        let mut expected = None;
+        for adapter in adapters {
+            if self.last_permits.in_use() + self.last_permits.planned >= limit {
+                return;
+            }
+            if self.replicas.values().any(|one| loading(one, adapter)) {
+                continue;
+            }
+            let mut work = expected.take().unwrap_or_else(|| self.expected_work(now));
+            self.plan_load(adapter, &mut work, now);
+            expected = Some(work);
         }
     }
 }
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -220,8 +220,8 @@
     load_time: Duration,
     /// Limit on concurrent loads from the store, over all replicas.
     store: Store,
-    /// Loads from the store that counted towards the limit at the last tick.
-    store_loads: usize,
+    /// Loads from the store at the last tick.
+    last_permits: Permits,
     /// When the next base model may be loaded from the store.
     next_model_load: Option<Instant>,
     /// When the next planning pass is due.
@@ -235,7 +235,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             load_time: config.initial_load_time,
-            store_loads: 0,
+            last_permits: Permits::default(),
             store: Store::new(config.initial_load_limit, config.min_load_limit),
             config,
             replicas: BTreeMap::new(),
@@ -520,8 +520,8 @@
             self.retire_least_requested(&replica_counts, now);
         }
         let mut actions = Vec::new();
-        let mut store_loads = self.permits(now).in_use();
-        self.store_loads = store_loads;
+        self.last_permits = self.permits(now);
+        let mut store_loads = self.last_permits.in_use();
         self.store.observe(store_loads, now);
         let due = |replica: &&Replica| replica.needs_attention(now);
         let due = self.replicas.values().filter(due);
--- a/crates/tanagershift/src/gateway/placement/orders.rs
+++ b/crates/tanagershift/src/gateway/placement/orders.rs
@@ -194,8 +194,8 @@
             }
             (Operation::Load, _) => {
                 if let Some(slot) = replica.slots.get_mut(&pending.adapter) {
-                    let started_at = slot.started_at.unwrap_or(slot.since);
-                    let min_duration = pending.sent_at.saturating_duration_since(started_at);
+                    // The load has begun by the answer to its order.
+                    let min_duration = pending.sent_at.saturating_duration_since(slot.since);
                     slot.state = State::Loading {
                         check_at,
                         min_duration,
@@ -229,7 +229,7 @@
         } else {
             self.load_time += self.config.check_interval / LOAD_TIME_INCREASE_DIVISOR;
         }
-        let is_wanted = !self.load_requests.is_empty();
+        let is_wanted = !self.load_requests.is_empty() || self.last_permits.planned > 0;
         self.store.record(load, is_wanted, now);
     }
 
--- a/crates/tanagershift/src/gateway/placement/permit_tests.rs
+++ b/crates/tanagershift/src/gateway/placement/permit_tests.rs
@@ -1,7 +1,10 @@
 //! Tests of the permits of the weight store while orders get no answer, when the number of loads that
 //! it bears is unknown, and while a fleet is cold.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
     Action, Config, Finding, State, Summary,
@@ -247,10 +250,35 @@
     let before = sim.engines.orders.len();
     let (held, wanted) = request(&mut sim, 100..160, 3);
     assert!(held * 10 >= wanted * 9, "{held} of {wanted}");
-    let loads = sim.engines.orders[before..].iter().filter(
-        |order| matches!(order, Action::Order { operation, .. } if *operation == Operation::Load),
-    );
-    // Each is ordered once and polled once or twice; few are loaded again.
-    let loads = loads.count();
-    assert!(loads <= wanted * 4, "{loads} orders to load");
+    let loads = sim.engines.orders[before..].iter();
+    let loads = loads.filter_map(|order| match order {
+        Action::Order {
+            operation: Operation::Load,
+            replica,
+            adapter,
+            ..
+        } => Some((replica, adapter)),
+        Action::Order { .. } | Action::Report { .. } => None,
+    });
+    // The rate of each adapter asks for two copies.
+    let loads = loads.collect::<BTreeSet<_>>().len();
+    assert!(loads <= wanted * 2, "{loads} loads");
+}
+
+/// Requests wait at the replicas of hundreds of adapters and for as many that no replica has. The
+/// adapters without a copy take precedence, and further copies are planned only as far as the store has
+/// permits: a pass over all of them must stay cheap for the leader.
+#[test]
+fn further_copies_take_no_more_than_their_share_of_permits() {
+    let mut sim = Simulation::new(REPLICAS, SLOTS_PER_REPLICA);
+    sim.engines.uncongested_loads = 48;
+    sim.run(Duration::from_millis(100));
+    let held = wanted(300, |_| 1);
+    run_waiting(&mut sim, &held, Duration::from_secs(4));
+    for adapter in (0..300).map(|number| format!("base/m{number}")) {
+        sim.placement.request_load(&adapter, 1, sim.now);
+    }
+    sim.placement.scale_out(held.keys(), sim.now);
+    let summary = sim.placement.summary(sim.now);
+    assert!(summary.planned * 2 <= summary.limit, "{summary:?}");
 }
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::{
-    Adapter, FIRST_VERSION, MIN_RESIDENCY, Placement, Replica, Slot, State, model_of,
+    Adapter, FIRST_VERSION, LoadRequest, MIN_RESIDENCY, Placement, Replica, Slot, State, model_of,
     orders::residency,
 };
 use crate::id;
@@ -130,33 +130,35 @@
         replica_counts: &mut HashMap<Adapter, usize>,
         now: Instant,
     ) {
-        let mut requested: Vec<(Reverse<u32>, Instant, Adapter)> = self
-            .load_requests
-            .iter()
-            .filter(|(adapter, _)| !replica_counts.contains_key(*adapter))
-            .map(|(adapter, request)| {
-                (
-                    Reverse(request.waiting),
-                    request.first_requested,
-                    adapter.clone(),
-                )
-            })
-            .collect();
+        let usable = self.replicas.values().filter(|one| one.is_usable());
+        let free: usize = usable.map(Replica::free_slots).sum();
+        let budget = self.load_budget(now).min(free);
+        if budget == 0 {
+            return;
+        }
+        let requested = self.load_requests.iter();
+        let requested = requested.filter(|(adapter, _)| !replica_counts.contains_key(*adapter));
+        let rank = |(adapter, request): (&Adapter, &LoadRequest)| {
+            let LoadRequest {
+                waiting,
+                first_requested,
+                ..
+            } = *request;
+            (Reverse(waiting), first_requested, adapter.clone())
+        };
+        let mut requested: Vec<(Reverse<u32>, Instant, Adapter)> = requested.map(rank).collect();
         if requested.is_empty() {
             return;
         }
         requested.sort();
         let mut expected = self.expected_work(now);
-        let usable = self.replicas.values().filter(|one| one.is_usable());
-        let free: usize = usable.map(Replica::free_slots).sum();
-        let budget = self.load_budget(now).min(free);
         for (_, _, adapter) in requested.into_iter().take(budget) {
             if self.plan_load(&adapter, &mut expected, now) {
                 *replica_counts.entry(adapter).or_default() += 1;
             }
         }
-        self.load_requests
-            .retain(|adapter, _| !replica_counts.contains_key(adapter));
+        let is_coming = |adapter: &Adapter| replica_counts.contains_key(adapter);
+        self.load_requests.retain(|adapter, _| !is_coming(adapter));
     }
 
     /// Plans loads of adapters with many requests on more replicas, unless load requests are
@@ -278,6 +280,7 @@
         if let Some(replica) = self.replicas.get_mut(&name) {
             let mut slot = Slot::new(version, State::Planned, now);
             slot.recently_held = replica.held_recently(adapter);
+            self.last_permits.planned += usize::from(!slot.recently_held);
             replica.slots.insert(adapter.to_owned(), slot);
         }
         true
