gateway: callers who do not read hold bounded memory, for a bounded time

Cause: an answer left the bound of bodies when it had arrived, though it still waited for its caller; no time bounded that wait; a connection to an upstream read up to 400 KiB ahead of a slow caller.

--- a/crates/tanagershift/src/gateway/budget/ledger.rs
+++ b/crates/tanagershift/src/gateway/budget/ledger.rs
@@ -13,9 +13,9 @@
 use snafu::Snafu;
 use tokio::time::Instant;
 
-/// Body up to which a request counts as small, in bytes.
+/// Largest small body in bytes.
 const SMALL: usize = 64 << 10;
-/// Small requests may take one part of the budget in this many beyond it.
+/// Small bodies may take one part of the budget in this many beyond it.
 const RESERVE_SHARE: usize = 8;
 /// Time without new bytes after which a body counts as stalled.
 const STALL_TIME: Duration = Duration::from_millis(500);
@@ -148,11 +148,9 @@
         if entry.state == State::GivenUp {
             return Outcome::Refused(Refusal::GivenUp);
         }
-        let limit = match entry.holder {
-            Holder::Request if entry.bytes + bytes <= SMALL => {
-                self.limit + self.limit / RESERVE_SHARE
-            }
-            Holder::Request | Holder::Response => self.limit,
+        let limit = match entry.bytes + bytes <= SMALL {
+            true => self.limit + self.limit / RESERVE_SHARE,
+            false => self.limit,
         };
         if entry.bytes + bytes > limit {
             return Outcome::Refused(Refusal::Full);
--- a/crates/tanagershift/src/gateway/callers/mod.rs
+++ b/crates/tanagershift/src/gateway/callers/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! * `register`: decides which connection is closed for a new one.
 //! * `connection`: counts a connection, and tells it that it must close.
+//! * `stream`: fails when the caller takes nothing of its answer for too long.
 
 pub mod connection;
 pub mod register;
+pub mod stream;
 #[cfg(test)]
 mod tests;
 
--- a/crates/tanagershift/src/gateway/callers/tests.rs
+++ b/crates/tanagershift/src/gateway/callers/tests.rs
@@ -1,13 +1,17 @@
 //! Which connection is closed for a new one, under the loads that clients can bring.
 
-use std::{net::IpAddr, time::Duration};
+use std::{io::ErrorKind, net::IpAddr, time::Duration};
 
-use tokio::time::Instant;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    time::{Instant, sleep},
+};
 
 use super::{
     Phase::{Idle, New, Receiving, Serving},
     Register, most_connections,
     register::Id,
+    stream::Stream,
 };
 use crate::testing::cases;
 
@@ -56,6 +60,28 @@
     assert_eq!(most_connections(descriptors, memory_mib << 20), expected);
 }
 
+/// Load: a caller that reads slowly, and then nothing more.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_takes_nothing_fails_its_own_answer() {
+    let (stream, mut caller) = tokio::io::duplex(1024);
+    let mut stream = Stream::new(stream, Duration::from_secs(15));
+    let slow = async {
+        let mut bytes = [0; 1024];
+        for _ in 0..4 {
+            sleep(Duration::from_secs(10)).await;
+            caller.read_exact(&mut bytes).await.unwrap();
+        }
+        sleep(Duration::from_secs(60)).await;
+    };
+    let started = Instant::now();
+    let written = tokio::select! {
+        written = stream.write_all(&[0; 64 << 10]) => written,
+        () = slow => panic!("the write waits"),
+    };
+    assert_eq!(written.unwrap_err().kind(), ErrorKind::TimedOut);
+    assert_eq!(started.elapsed(), Duration::from_secs(55));
+}
+
 cases! { check_most {
     smallest_machine_keeps_hundreds: (4100, 120, 960);
     usual_machine_is_bound_by_descriptors: (4100, 260, 2050);
--- a/crates/tanagershift/src/gateway/connection.rs
+++ b/crates/tanagershift/src/gateway/connection.rs
@@ -44,6 +44,9 @@
 /// connection stays reusable for at least a quarter of the limit.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Most bytes of a response that are read ahead of a caller who reads slowly. Heads are smaller.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Body of a request to an upstream.
 pub type Body = Full<Bytes>;
 
@@ -178,7 +181,10 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|error| Error::Connect {
             reason: error.to_string(),
         })?;
--- a/crates/tanagershift/src/gateway/server.rs
+++ b/crates/tanagershift/src/gateway/server.rs
@@ -113,6 +113,7 @@
             configuration.limits.clone()
         })
     };
+    let stream = callers::stream::Stream::new(stream, limits.idle_timeout);
     let handler = gateway.clone();
     let service = service_fn(move |request| {
         let (gateway, caller) = (handler.clone(), caller.clone());
--- a/crates/tanagershift/src/gateway/tests.rs
+++ b/crates/tanagershift/src/gateway/tests.rs
@@ -27,8 +27,19 @@
 
 async fn receive_body(pieces: &[usize], held_elsewhere: usize, is_taken: bool) {
     let memory = budget::Shared::new(32 << 20);
-    let mut elsewhere = memory.open(Holder::Response, None);
-    elsewhere.grow(held_elsewhere).await.unwrap();
+    // Beyond the budget itself, only small bodies are held.
+    let mut elsewhere = Vec::new();
+    let mut held = 0;
+    while held < held_elsewhere {
+        let bytes = match held < 32 << 20 {
+            true => held_elsewhere.min(32 << 20),
+            false => 64 << 10,
+        };
+        let mut lease = memory.open(Holder::Response, None);
+        lease.grow(bytes).await.unwrap();
+        elsewhere.push(lease);
+        held += bytes;
+    }
     let mut buffer = Buffer::new(memory.open(Holder::Response, None));
     let mut expected = Vec::new();
     let mut taken = true;
@@ -52,7 +63,9 @@
     pieces_of_all_sizes_are_kept_in_order: (&[1, 0, 70_000, 3, 65_536, 200_000], 0, true);
     a_body_of_the_largest_size_is_kept: (&[16 << 20, 16 << 20], 0, true);
     a_larger_body_is_refused: (&[32 << 20, 1], 0, false);
-    a_body_for_which_others_leave_no_room_is_refused: (&[800], 32 << 20, false);
+    a_body_for_which_others_leave_no_room_is_refused: (&[70_000], 32 << 20, false);
+    a_small_body_takes_what_is_kept_for_it: (&[800], 32 << 20, true);
+    a_small_body_for_which_others_leave_no_room_is_refused: (&[800], 36 << 20, false);
 }}
 
 fn check_continued(after: u64, events: &str, is_continued: bool) {
