--- a/crates/tanagershift/src/settings.rs
+++ b/crates/tanagershift/src/settings.rs
@@ -262,7 +262,7 @@
             drain: Duration::from_secs(120),
             balancer: Duration::from_secs(2),
             memory: gateway::budget::DEFAULT_MEMORY,
-            descriptors: descriptor_limit(),
+            descriptors: 0,
         };
         let path = |text: &str| ini::text(text).map(|text| Some(PathBuf::from(text)));
         let bound = |text: &str| address(text).map(Some);
@@ -274,10 +274,12 @@
             let memory = ini::size(text)?;
             at_least(memory, MIN_MEMORY)
         })?;
-        section.read("descriptors", &mut host.descriptors, |text| {
+        let mut descriptors = None;
+        section.read("descriptors", &mut descriptors, |text| {
             let descriptors = ini::count(text)?;
-            at_least(descriptors, MIN_DESCRIPTORS)
+            at_least(descriptors, MIN_DESCRIPTORS).map(Some)
         })?;
+        host.descriptors = descriptors.unwrap_or_else(descriptor_limit);
         let mut private = false;
         section.read("private-network", &mut private, ini::flag)?;
         if host.token_file.is_none() && !private && !host.peer.ip().is_loopback() {
--- a/crates/tanagershift/src/tests/settings.rs
+++ b/crates/tanagershift/src/tests/settings.rs
@@ -47,6 +47,10 @@
             "x.ini:9: [holder] slots: `0` is not a whole number above zero");
         neither_yes_nor_no: ("[platform]", "[holder]\nfencing = maybe\n[platform]",
             "x.ini:9: [holder] fencing: `maybe` is neither yes nor no");
+        memory_too_small: ("zone = a", "zone = a\nmemory = 1MiB",
+            "x.ini:4: [host] memory: must be at least 33554432");
+        descriptors_too_few: ("zone = a", "zone = a\ndescriptors = 10",
+            "x.ini:4: [host] descriptors: must be at least 64");
         clashing_times: ("[platform]", "[entry]\ntimeout = 2m\n[platform]",
             "x.ini:8: [entry] timeout: must not be above timeout-limit");
         clashing_heartbeat: ("voters = 127.0.0.1:1", "voters = 127.0.0.1:1\nheartbeat = 1s",
