--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -19,6 +19,8 @@
 mod concurrency;
 mod configuration_history;
 mod delivery;
+#[cfg(test)]
+mod delivery_tests;
 mod gateways;
 mod helpers;
 mod limits;
--- a/crates/tanagershift/src/link.rs
+++ b/crates/tanagershift/src/link.rs
@@ -8,6 +8,8 @@
 
 pub mod traffic;
 mod writer;
+#[cfg(test)]
+mod writer_tests;
 
 use std::{
     collections::{BTreeMap, HashMap},
