--- a/crates/tanagershift/src/gateway/background.rs
+++ b/crates/tanagershift/src/gateway/background.rs
@@ -69,15 +69,18 @@
     pub async fn watch_leader(self) {
         loop {
             let version = self.version();
-            let list = self.gateway.view().known_list();
+            let (list, store, rates) = {
+                let view = self.gateway.view();
+                (view.known_list(), view.store, view.rates.clone())
+            };
             let watch = Body::Watch(Watch {
                 host: self.gateway.host.clone(),
                 session: self.gateway.session,
                 version,
                 address: self.address.clone(),
                 zone: self.gateway.zone.clone(),
-                store: self.gateway.view().store,
-                rates: self.gateway.view().rates.clone(),
+                store,
+                rates,
                 takes_changes: true,
                 list: list.number,
                 list_digest: list.digest,
