hub: handle outcomes of orders between two ticks

A replica gets its next order only after the outcome of the one before, and outcomes waited for the next tick, which takes long while many requests wait: 260 orders a second went to 60 replicas.

Change: outcomes are handled between ticks, with a pause of four times the time that it takes.

--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -156,6 +156,8 @@
     next_tick: Instant,
     /// Whether an input has arrived since the last tick.
     input_pending: bool,
+    /// Outcomes of orders between two ticks.
+    order_tick: loads::OrderTick,
     /// KV cache capacity of a replica in tokens, by service.
     token_capacity: BTreeMap<String, u32>,
     /// Open requests at each replica that were not assigned here.
@@ -315,7 +317,11 @@
         let due = state.scheduler.next_due(now);
         let wake = due.map_or(wake, |due| wake.min(due));
         let wake = if state.input_pending { now } else { wake };
-        wake.max(state.next_tick)
+        let wake = wake.max(state.next_tick);
+        state
+            .order_tick
+            .next_due()
+            .map_or(wake, |due| wake.min(due))
     }
 
     /// Applies a change of the group's committed state or of its leader.
@@ -399,6 +405,7 @@
             next_sweep: now,
             next_tick: now,
             input_pending: false,
+            order_tick: loads::OrderTick::new(now),
             token_capacity: BTreeMap::new(),
             unscheduled_requests: BTreeMap::new(),
             watchers: Vec::new(),
@@ -446,6 +453,7 @@
             Input::Ask(ask, responder) => state.queue_request(ask, responder, now),
             Input::List(upstreams) => state.update_list(upstreams, now),
             Input::Ordered(term, replica, number, outcome) if term == state.term => {
+                state.order_tick.record_outcome();
                 state
                     .placement
                     .handle_order_outcome(&replica, number, outcome, now);
@@ -468,25 +476,12 @@
         }
     }
 
-    /// Assigns requests, carries out the placement's actions and notifies gateways.
-    fn tick(&mut self) {
-        let now = Instant::now();
+    /// Carries out the placement's actions, and tells gateways at once what their requests wait for.
+    fn send_orders(&mut self, now: Instant) {
         let Some(state) = &mut self.leader_state else {
             return;
         };
-        if now < state.next_tick {
-            return;
-        }
-        state.input_pending = false;
-        state.sweep(now);
-        state.spread_marks(&self.gateway, now);
-        state.spread_limits(now);
-        state.spread_brittle(now);
-        state.spread_helpers(now);
-        hand_over_if_cut_off(&self.gateway, &self.voter, state, now);
-        state.start_checks(&self.gateway, &self.inputs, now);
-        state.decide(now);
-        state.record_software(&self.gateway, &self.inputs, now);
+        let began = Instant::now();
         let may_order = state.may_order(&self.voter_status, now);
         state.record_silence(may_order, &self.gateway.metrics, now);
         for action in state.placement.tick(may_order, now) {
@@ -504,6 +499,35 @@
         let changes = state.placement.take_changes();
         state.notify_waiting_gateways(&changes);
         state.residency_changes.extend(changes);
+        state.order_tick.end(began, Instant::now());
+    }
+
+    /// Assigns requests, carries out the placement's actions and notifies gateways.
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let Some(state) = &mut self.leader_state else {
+            return;
+        };
+        if now < state.next_tick {
+            if state.order_tick.is_due(now) {
+                self.send_orders(now);
+            }
+            return;
+        }
+        state.input_pending = false;
+        state.sweep(now);
+        state.spread_marks(&self.gateway, now);
+        state.spread_limits(now);
+        state.spread_brittle(now);
+        state.spread_helpers(now);
+        hand_over_if_cut_off(&self.gateway, &self.voter, state, now);
+        state.start_checks(&self.gateway, &self.inputs, now);
+        state.decide(now);
+        state.record_software(&self.gateway, &self.inputs, now);
+        self.send_orders(now);
+        let Some(state) = &mut self.leader_state else {
+            return;
+        };
         if now >= state.next_notice {
             state.broadcast_update(&self.gateway.metrics, now);
         }
