quota: wait for a leader that can count, and fill buckets after all hosts have started again

Requests were refused with 503 just before hosts look for the next leader (1.5 s without a notice), and with 429 for 2 s after all hosts had started, since none of them knew a part of the quotas. Change: requests that must be counted wait up to 3 s since the last notice. A leader that has not heard from all hosts yet answers no 429, so that the gateway asks again. If no heard host has a part, time is counted by the leader's clock. Refusals are logged with the quota and what was used.

--- a/crates/tanagershift/src/gateway/hub/quota.rs
+++ b/crates/tanagershift/src/gateway/hub/quota.rs
@@ -65,12 +65,20 @@
                 self.quotas
                     .try_spend(&payment.account, payment.cost, clock::corrected(now))
         {
+            if !self.quotas.has_heard_all(clock::corrected(now)) {
+                // The gateway asks again with the next notice.
+                return;
+            }
             log::info!(
-                "event=quota.refuse request={} account={} cost={} level={:.0} retry_after_ms={}",
+                "event=quota.refuse request={} account={} cost={} level={:.0} per_second={:.0} \
+                 burst={:.0} spent={:.0} retry_after_ms={}",
                 ask.request,
                 ask.account,
                 ask.cost,
                 refusal.level,
+                refusal.quota.per_second,
+                refusal.quota.burst,
+                refusal.spent,
                 refusal.retry_after.as_millis()
             );
             return refuse(responder, refusal.retry_after);
--- a/crates/tanagershift/src/gateway/quota/ledger.rs
+++ b/crates/tanagershift/src/gateway/quota/ledger.rs
@@ -46,6 +46,10 @@
     pub retry_after: Duration,
     /// Units in the bucket.
     pub level: f64,
+    /// Quota of the account.
+    pub quota: Quota,
+    /// Units that the account has used under this leader.
+    pub spent: f64,
 }
 
 /// Buckets of all accounts.
@@ -154,9 +158,17 @@
         Err(Refusal {
             retry_after: (due - now).max(MIN_RETRY_AFTER),
             level: bucket.level,
+            quota,
+            spent: bucket.use_.spent,
         })
     }
 
+    /// Whether this leader has heard from all hosts that reach it. Before, a bucket may hold more than is
+    /// known.
+    pub fn has_heard_all(&self, now: Instant) -> bool {
+        self.supply.has_heard_all(self.interval, now)
+    }
+
     /// Gives back what a request cost that was not sent.
     pub fn give_back(&mut self, account: &str, cost: u64, now: Instant) {
         if let Some((bucket, _, burst)) = self.fill(account, now) {
--- a/crates/tanagershift/src/gateway/quota/supply.rs
+++ b/crates/tanagershift/src/gateway/quota/supply.rs
@@ -10,8 +10,9 @@
 /// Time after which a host that is new gives time. By then the others have heard that their parts are
 /// smaller, or are known to be silent.
 const JOIN_TIME: Duration = Duration::from_secs(2);
-/// Time after which a leader assumes that a host which knows no part has one nevertheless.
-const FRESH_TIME: Duration = Duration::from_secs(2);
+/// Added to the time between two tallies: then a leader has heard from all hosts that reach it, and knows
+/// whether any of them has a part.
+const FIRST_TALLIES: Duration = Duration::from_millis(300);
 /// Time after which a silent host is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(600);
 
@@ -45,6 +46,8 @@
     /// When no host can have a part any more that an earlier leader told it.
     settled_at: Instant,
     seconds: f64,
+    /// Up to when the leader counted time by its own clock, while no host had a part.
+    counted_to: Option<Instant>,
     /// Smallest part that a host has reported.
     smallest: f64,
 }
@@ -61,6 +64,7 @@
                 false => now + ALONE_TIME + ALONE_MARGIN,
             },
             seconds: 0.0,
+            counted_to: None,
             smallest: 1.0,
         }
     }
@@ -111,6 +115,9 @@
             heard_at: now,
         };
         self.givers.insert(host.clone(), giver);
+        if now < self.settled_at && self.largest(interval, now) <= 0.0 {
+            return self.count_time(interval, now);
+        }
         let is_joining = joined_at > self.started_at && now < joined_at + JOIN_TIME;
         if is_joining {
             return;
@@ -125,6 +132,29 @@
         self.seconds += time.as_secs_f64() * weight;
     }
 
+    /// Counts time by this leader's clock: all hosts have just started, so none can spend alone.
+    fn count_time(&mut self, interval: Duration, now: Instant) {
+        if !self.has_heard_all(interval, now) {
+            return;
+        }
+        let start = || now.checked_sub(HELD_TIME).unwrap_or(now);
+        let from = self.counted_to.unwrap_or_else(start);
+        self.seconds += now.saturating_duration_since(from).as_secs_f64();
+        self.counted_to = Some(now);
+    }
+
+    /// Whether this leader has heard from all hosts that reach it.
+    pub fn has_heard_all(&self, interval: Duration, now: Instant) -> bool {
+        let is_first = self.settled_at == self.started_at;
+        is_first || now >= self.started_at + interval + FIRST_TALLIES
+    }
+
+    /// Largest part that a heard host has reported.
+    fn largest(&self, interval: Duration, now: Instant) -> f64 {
+        let told = self.heard(interval, now).map(|giver| giver.told);
+        told.fold(0.0, f64::max)
+    }
+
     /// Parts of hosts that are silent, or not known, and may spend them alone.
     pub fn reserved(&self, interval: Duration, now: Instant) -> f64 {
         if now >= self.settled_at {
@@ -177,9 +207,8 @@
 
     /// What a second is worth while hosts have the parts that an earlier leader told them.
     fn inherited(&self, interval: Duration, now: Instant) -> impl Fn(f64) -> f64 {
-        let heard = self.heard(interval, now);
-        let largest = heard.map(|giver| giver.told).fold(0.0, f64::max);
-        let is_fresh = now >= self.started_at + FRESH_TIME;
+        let largest = self.largest(interval, now);
+        let is_fresh = self.has_heard_all(interval, now);
         let equal = self.equal_part(interval, now);
         move |part| {
             // Hosts that have just started know no part, though they have that of their predecessor.
--- a/crates/tanagershift/src/gateway/select.rs
+++ b/crates/tanagershift/src/gateway/select.rs
@@ -21,6 +21,9 @@
 const LEADER_WAIT: Duration = Duration::from_millis(1500);
 /// Shortest time that a caller is told to wait for brittle upstreams that are full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest time since the last notice for which a request waits for a leader that counts it against its
+/// account's quota. It covers the time after which gateways look for the next leader.
+const COUNT_WAIT: Duration = Duration::from_millis(3000);
 /// Time after which a gateway without a leader looks again for a free place at brittle upstreams.
 const PLACE_RECHECK: Duration = Duration::from_millis(20);
 /// Why a request is refused that cannot be counted against its account's quota.
@@ -163,6 +166,9 @@
             Asked::Assigned(selected) => return Ok(Some(*selected)),
             Asked::Unassigned { is_answered } => is_answered,
         };
+        if must_pay(job, trace) && gateway.try_spend_alone(job) {
+            trace.is_counted = true;
+        }
         let needs_leader = || needs_leader(gateway, job, resumption, trace);
         let lost_at = *lost_at.get_or_insert_with(Instant::now);
         let until = match (needs_leader(), waits_for_leader(gateway, job, trace)) {
@@ -185,11 +191,13 @@
 /// others may have requests there that this host does not know of, and until it is counted against its
 /// account's quota.
 fn waits_for_leader(gateway: &Gateway, job: &Job, trace: &Trace) -> Option<Instant> {
-    if !gateway.view().shares.is_bounded(&job.service) && !must_pay(job, trace) {
-        return None;
-    }
+    let wait = match gateway.view().shares.is_bounded(&job.service) {
+        _ if must_pay(job, trace) => COUNT_WAIT,
+        true => LEADER_WAIT,
+        false => return None,
+    };
     let lost_at = (*gateway.last_notice_at.borrow())?;
-    let until = (lost_at + LEADER_WAIT).min(give_up_at(job));
+    let until = (lost_at + wait).min(give_up_at(job));
     (Instant::now() < until).then_some(until)
 }
 
