quota: bounded lines about refusals; what is not whole

Cause: each refusal over a quota wrote a line at the leader, some 250 a second for one busy account. Change: at most ten lines a second an account; time is counted from the start of the leader.

--- a/crates/tanagershift/src/gateway/hub/quota.rs
+++ b/crates/tanagershift/src/gateway/hub/quota.rs
@@ -69,18 +69,21 @@
                 // The gateway asks again with the next notice.
                 return;
             }
-            log::info!(
-                "event=quota.refuse request={} account={} cost={} level={:.0} per_second={:.0} \
-                 burst={:.0} spent={:.0} retry_after_ms={}",
-                ask.request,
-                ask.account,
-                ask.cost,
-                refusal.level,
-                refusal.quota.per_second,
-                refusal.quota.burst,
-                refusal.spent,
-                refusal.retry_after.as_millis()
-            );
+            if refusal.is_logged {
+                log::info!(
+                    "event=quota.refuse request={} account={} cost={} level={:.0} per_second={:.0} \
+                     burst={:.0} spent={:.0} refused={} retry_after_ms={}",
+                    ask.request,
+                    ask.account,
+                    ask.cost,
+                    refusal.level,
+                    refusal.quota.per_second,
+                    refusal.quota.burst,
+                    refusal.usage.spent,
+                    refusal.usage.refused,
+                    refusal.retry_after.as_millis()
+                );
+            }
             return refuse(responder, refusal.retry_after);
         }
         if !ask.model.is_empty() || ask.is_bounded {
--- a/crates/tanagershift/src/gateway/quota/ledger.rs
+++ b/crates/tanagershift/src/gateway/quota/ledger.rs
@@ -14,6 +14,8 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// Shortest such time.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time between two log lines about the refusals of one account.
+const LOG_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What an account may use.
 #[derive(Clone, Debug)]
@@ -27,7 +29,9 @@
     filled_to: f64,
     /// When the last request that was refused finds room.
     promised_until: Instant,
-    use_: Use,
+    usage: Use,
+    /// Earliest time of the next log line about a refusal.
+    next_line: Instant,
 }
 
 /// What an account has used, and what it was refused.
@@ -48,8 +52,10 @@
     pub level: f64,
     /// Quota of the account.
     pub quota: Quota,
-    /// Units that the account has used under this leader.
-    pub spent: f64,
+    /// What the account has used, and was refused, under this leader.
+    pub usage: Use,
+    /// Whether it is logged; lines about one account are bounded.
+    pub is_logged: bool,
 }
 
 /// Buckets of all accounts.
@@ -104,7 +110,8 @@
                 level,
                 filled_to: self.supply.seconds(),
                 promised_until: now,
-                use_: Use::default(),
+                usage: Use::default(),
+                next_line: now,
             };
             self.buckets.entry(name).or_insert_with(new);
         }
@@ -144,10 +151,10 @@
         let missing = cost.min(burst) - bucket.level;
         if missing <= 0.0 {
             bucket.level -= cost;
-            bucket.use_.spent += cost;
+            bucket.usage.spent += cost;
             return Ok(());
         }
-        bucket.use_.refused += 1;
+        bucket.usage.refused += 1;
         let time = |units: f64| Duration::try_from_secs_f64(units / quota.per_second);
         let time = |units: f64| time(units).unwrap_or(MAX_RETRY_AFTER).min(MAX_RETRY_AFTER);
         let after_all = bucket.promised_until + time(cost);
@@ -155,11 +162,16 @@
             .max(after_all)
             .min(now + MAX_RETRY_AFTER);
         bucket.promised_until = due;
+        let is_logged = now >= bucket.next_line;
+        if is_logged {
+            bucket.next_line = now + LOG_INTERVAL;
+        }
         Err(Refusal {
             retry_after: (due - now).max(MIN_RETRY_AFTER),
             level: bucket.level,
             quota,
-            spent: bucket.use_.spent,
+            usage: bucket.usage,
+            is_logged,
         })
     }
 
@@ -173,7 +185,7 @@
     pub fn give_back(&mut self, account: &str, cost: u64, now: Instant) {
         if let Some((bucket, _, burst)) = self.fill(account, now) {
             bucket.level = (bucket.level + cost as f64).min(burst);
-            bucket.use_.spent -= cost as f64;
+            bucket.usage.spent -= cost as f64;
         }
     }
 
@@ -199,7 +211,7 @@
     pub fn accounts(&self) -> impl Iterator<Item = (&Name, Quota, f64, Use)> {
         self.buckets.iter().filter_map(|(name, bucket)| {
             let quota = bucket.quota?;
-            Some((name, quota, bucket.level, bucket.use_))
+            Some((name, quota, bucket.level, bucket.usage))
         })
     }
 }
--- a/crates/tanagershift/src/gateway/quota/supply.rs
+++ b/crates/tanagershift/src/gateway/quota/supply.rs
@@ -137,8 +137,7 @@
         if !self.has_heard_all(interval, now) {
             return;
         }
-        let start = || now.checked_sub(HELD_TIME).unwrap_or(now);
-        let from = self.counted_to.unwrap_or_else(start);
+        let from = self.counted_to.unwrap_or(self.started_at);
         self.seconds += now.saturating_duration_since(from).as_secs_f64();
         self.counted_to = Some(now);
     }
