--- a/crates/tanagershift/src/gateway/hub/quota.rs
+++ b/crates/tanagershift/src/gateway/hub/quota.rs
@@ -65,14 +65,25 @@
                 self.quotas
                     .try_spend(&payment.account, payment.cost, clock::corrected(now))
         {
-            log::info!(
-                "event=quota.refuse request={} account={} cost={} level={:.0} retry_after_ms={}",
-                ask.request,
-                ask.account,
-                ask.cost,
-                refusal.level,
-                refusal.retry_after.as_millis()
-            );
+            if !self.quotas.has_heard_all(clock::corrected(now)) {
+                // The gateway asks again with the next notice.
+                return;
+            }
+            if refusal.is_logged {
+                log::info!(
+                    "event=quota.refuse request={} account={} cost={} level={:.0} per_second={:.0} \
+                     burst={:.0} spent={:.0} refused={} retry_after_ms={}",
+                    ask.request,
+                    ask.account,
+                    ask.cost,
+                    refusal.level,
+                    refusal.quota.per_second,
+                    refusal.quota.burst,
+                    refusal.usage.spent,
+                    refusal.usage.refused,
+                    refusal.retry_after.as_millis()
+                );
+            }
             return refuse(responder, refusal.retry_after);
         }
         if !ask.model.is_empty() || ask.is_bounded {
