gateway: loads by pace, careful pauses, and tests of uneven replicas

Pauses at replicas whose figures are old lowered the rate of all. Change: the placement multiplies the expected work of a replica by its lasting pace; the cost assumes a slower pace the older the figure is; a stream that itself ran slowly says nothing about the rate. What replicas cost a job moves from scheduler.rs to evaluate.rs. Tests: the scheduler on 3, 60 and 220 replicas whose paces change, against the true paces and against today's choice.

--- a/crates/tanagershift/src/gateway/cost.rs
+++ b/crates/tanagershift/src/gateway/cost.rs
@@ -14,7 +14,7 @@
 /// Share of the objective for pauses up to which a prompt costs the streams beside it nothing.
 const FREE_PAUSE_SHARE: f64 = 0.5;
 /// Cost of a millisecond of output: it takes up a place, though its caller may be content.
-const OUTPUT_COST: f64 = 0.03;
+const OUTPUT_COST: f64 = 0.06;
 /// Cost of a millisecond after the objective, in milliseconds before it.
 const LATE_COST: f64 = 2.0;
 /// Least share of a millisecond's cost for a request that can wait.
@@ -159,8 +159,8 @@
         let late = (first - need.objective_ms.max(0.0)).max(0.0);
         let late = if need.objective_ms > 0.0 { late } else { 0.0 };
         let pauses = need.gap_ms.map_or(0.0, |aim| {
-            let beside = if self.fill > 0.0 { self.read_ms } else { 0.0 };
-            let gap = (beside + self.event_ms) * self.pace.now;
+            // What comes later stops its own events in the same way.
+            let gap = (self.read_ms + self.event_ms) * self.pace.cautious();
             (gap / aim.max(1.0) - FREE_PAUSE_SHARE).clamp(0.0, 2.0) * PAUSE_COST_MS
         });
         let zone = if self.is_near {
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -190,6 +190,16 @@
         }
     }
 
+    /// Tells the placement the lasting paces of the replicas.
+    fn update_paces(&mut self, now: Instant) {
+        for upstream in &self.list.upstreams {
+            if self.scheduler.paces.is_uneven(&upstream.service, now) {
+                let pace = self.scheduler.paces.estimate(&upstream.name, now);
+                self.placement.set_pace(&upstream.name, pace.lasting);
+            }
+        }
+    }
+
     /// Records upstreams that leave, and tells all gateways of those that are new.
     fn record_departures(&mut self, upstreams: &[String], now: Instant) {
         let listed = &self.list.upstreams;
@@ -365,6 +375,7 @@
     pub(super) fn broadcast_update(&mut self, now: Instant) {
         let open = self.sum_open_requests(now);
         let residencies = std::mem::take(&mut self.residency_changes);
+        self.update_paces(now);
         let changed = std::mem::take(&mut self.pace_changes);
         let paces = self.scheduler.paces.reports(changed.iter(), now);
         let interval = self.notice_interval();
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 pub mod daemon;
 mod detour_message;
 pub mod dialect;
+pub mod evaluate;
 pub mod event_stream;
 pub mod exchange;
 pub mod forward;
@@ -94,6 +95,8 @@
 pub mod tunnel_stream;
 #[cfg(test)]
 mod tunnel_tests;
+#[cfg(test)]
+mod uneven_tests;
 pub mod upstream_list;
 pub mod view;
 
--- a/crates/tanagershift/src/gateway/pace.rs
+++ b/crates/tanagershift/src/gateway/pace.rs
@@ -67,6 +67,11 @@
         age: None,
     };
 
+    /// Pace that is seldom exceeded: an upstream of which little is known may be slow now.
+    pub fn cautious(&self) -> f64 {
+        self.now.max(self.lasting) * (1.0 + self.uncertainty)
+    }
+
     /// Expected pace over work of a duration that begins now.
     pub fn over(&self, work: Duration) -> f64 {
         let life = FIGURE_LIFE.as_secs_f64();
@@ -234,6 +239,9 @@
         known.correction += (target - known.correction) * weight;
         known.correction = known.correction.clamp(MIN_PACE, MAX_PACE);
         known.heard_at = now;
+        if alone_ms > *usual_ms * SLOW_PACE {
+            known.slow_at = Some(now);
+        }
         known.note_slow(now);
     }
 
--- a/crates/tanagershift/src/gateway/placement/mod.rs
+++ b/crates/tanagershift/src/gateway/placement/mod.rs
@@ -296,6 +296,13 @@
         }
     }
 
+    /// Sets how long work takes at a replica, compared with the usual.
+    pub fn set_pace(&mut self, replica: &str, pace: f64) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.pace = pace;
+        }
+    }
+
     /// Records that a replica has announced that it leaves. It gets no more orders and no requests.
     pub fn set_leaving(&mut self, replica: &str) {
         if let Some(replica) = self.replicas.get_mut(replica) {
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -239,7 +239,8 @@
             } else {
                 0.0
             };
-            work.unwrap_or(0.0) / slots + open + loading_penalty - fast_load_bonus
+            let busy = work.unwrap_or(0.0) / slots + open;
+            busy * replica.pace + loading_penalty - fast_load_bonus
         };
         let fits = |replica: &&Replica| {
             replica.free_slots() > 0
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -110,6 +110,8 @@
     pub pending: Option<PendingOrder>,
     /// Requests that all gateways together have open at the replica.
     pub open_requests: u32,
+    /// How long work takes there, compared with the usual.
+    pub pace: f64,
     /// Running requests by adapter. Counts only requests that were scheduled by this leader.
     pub running_requests: BTreeMap<Adapter, u32>,
     /// Recently unloaded adapters, the latest at the back.
@@ -142,6 +144,7 @@
             slots,
             pending: None,
             open_requests: 0,
+            pace: 1.0,
             running_requests: BTreeMap::new(),
             recently_unloaded: VecDeque::new(),
         }
--- a/crates/tanagershift/src/gateway/scheduler.rs
+++ b/crates/tanagershift/src/gateway/scheduler.rs
@@ -18,11 +18,11 @@
     Candidate, Decision, Job, JobGroup, JobNumber, Pauses, PromptPart, RunningJob,
 };
 use super::{
-    cost::{Cost, Lengths, Need, Offer},
+    cost::Lengths,
     limit::Limits,
     message::Streams,
     overload::Overloads,
-    pace::{Estimate, Paces},
+    pace::Paces,
     prompt_rate::PromptRate,
     quarantine::{Ledger, Ruling},
     replica_load::ReplicaLoad,
@@ -52,9 +52,6 @@
 const MIN_BUSY_TIME: Duration = Duration::from_millis(100);
 /// Time after its assignment in which a job may not have begun to run.
 const MAX_BEGIN_TIME: Duration = Duration::from_secs(3);
-/// Share of the expected time of a job at the fastest replica that must be left: its output may be
-/// shorter than expected.
-const HOPELESS_SHARE: f64 = 0.5;
 
 /// Waiting jobs of one group.
 #[derive(Debug, Default)]
@@ -69,11 +66,11 @@
 /// Waiting requests, and what each replica has been assigned.
 #[derive(Debug)]
 pub struct Scheduler {
-    config: Config,
+    pub(super) config: Config,
     waiting: BTreeMap<JobNumber, Job>,
     /// Numbers of the waiting jobs, by what they need.
     groups: BTreeMap<JobGroup, Queue>,
-    loads: BTreeMap<id::Upstream, ReplicaLoad>,
+    pub(super) loads: BTreeMap<id::Upstream, ReplicaLoad>,
     /// Rate at which prompts are admitted to each replica of a service, by service.
     prompt_rates: BTreeMap<String, PromptRate>,
     running: BTreeMap<JobNumber, RunningJob>,
@@ -81,7 +78,7 @@
     /// Paces of the replicas of uneven services.
     pub paces: Paces,
     /// Lengths of the outputs of uneven services.
-    lengths: Lengths,
+    pub(super) lengths: Lengths,
 }
 
 impl Scheduler {
@@ -390,132 +387,6 @@
         queues.map(|(group, _)| group)
     }
 
-    /// The candidate that costs least, with its cost; `None` if none can take the job now.
-    fn cheapest_candidate<'a>(
-        &self,
-        job: &Job,
-        candidates: impl Iterator<Item = &'a Candidate>,
-        prompt_rate: &PromptRate,
-        now: Instant,
-    ) -> Option<((Cost, Estimate), &'a Candidate)> {
-        candidates
-            .filter_map(|candidate| Some((self.cost(job, candidate, prompt_rate, now)?, candidate)))
-            .min_by(|((left, _), _), ((right, _), _)| left.total().total_cmp(&right.total()))
-    }
-
-    /// The candidate with the fewest open requests, with its cost; `None` if none can take the job
-    /// now.
-    fn calmest_candidate<'a>(
-        &self,
-        job: &Job,
-        candidates: impl Iterator<Item = &'a Candidate>,
-        prompt_rate: &PromptRate,
-        now: Instant,
-    ) -> Option<((Cost, Estimate), &'a Candidate)> {
-        candidates
-            .filter_map(|candidate| Some((self.cost(job, candidate, prompt_rate, now)?, candidate)))
-            .min_by_key(|(_, candidate)| {
-                candidate.unscheduled_requests + self.running_on(&candidate.name)
-            })
-    }
-
-    /// What it costs to run a job at a replica, and the replica's pace; `None` while it cannot take
-    /// the job.
-    fn cost(
-        &self,
-        job: &Job,
-        candidate: &Candidate,
-        prompt_rate: &PromptRate,
-        now: Instant,
-    ) -> Option<(Cost, Estimate)> {
-        let idle = ReplicaLoad::new(now);
-        let load = self.loads.get(&candidate.name).unwrap_or(&idle);
-        let open = candidate.unscheduled_requests + load.jobs.len() as u32;
-        let slots = f64::from(candidate.slots.max(1));
-        let usual = (slots * self.config.slot_share).max(1.0);
-        let most = match candidate.ceiling {
-            // A plain service has no prompts that run slower beside others.
-            Some(ceiling) if job.model.is_empty() => f64::from(ceiling),
-            Some(ceiling) => f64::from(ceiling).min(usual),
-            None => usual,
-        };
-        if f64::from(open + 1) > most {
-            return None;
-        }
-        let used = load.jobs.values().map(|memory| memory.reserved);
-        let used = used.fold(0, u32::saturating_add);
-        let capacity = f64::from(candidate.token_capacity) * self.config.capacity_share;
-        let needed = f64::from(used + job.prompt_tokens + job.max_output_tokens);
-        if candidate.token_capacity > 0 && needed > capacity && !load.jobs.is_empty() {
-            return None;
-        }
-        let pace = self.pace(job, &candidate.name, now);
-        let rate = prompt_rate.at_pace(pace.now);
-        let uncached = f64::from(load.uncached_tokens(job, candidate.token_capacity, now));
-        let backlog = load.backlog_at(rate.tokens_per_ms(), now);
-        if backlog > 0.0 && backlog + uncached > rate.burst_tokens() {
-            return None;
-        }
-        let fill = f64::from(open) / slots;
-        let offer = Offer {
-            wait_ms: backlog / prompt_rate.tokens_per_ms(),
-            read_ms: uncached / prompt_rate.tokens_per_ms(),
-            event_ms: self.paces.event_ms(&job.service, fill).unwrap_or(0.0),
-            fill,
-            pace,
-            is_near: candidate.zone == job.zone,
-        };
-        if !self.paces.is_uneven(&job.service, now) {
-            return Some((offer.even_cost(), pace));
-        }
-        let need = self.need(job, now);
-        offer.fits(&need).then(|| (offer.cost(&need), pace))
-    }
-
-    /// What a job has time for.
-    fn need(&self, job: &Job, now: Instant) -> Need {
-        let ms = |time: Duration| time.as_secs_f64() * 1000.0;
-        let left = |until: Instant| ms(until.saturating_duration_since(now));
-        Need {
-            objective_ms: left(job.objective),
-            deadline_ms: job.deadline.map(left),
-            gap_ms: job.max_gap.map(ms),
-            events: self.lengths.events(&job.service, job.output_tokens),
-        }
-    }
-
-    /// Whether not even an empty replica of the fastest pace can finish a job before its caller leaves.
-    fn is_out_of_reach(&self, job: &Job, now: Instant) -> bool {
-        if job.deadline.is_none() || !self.paces.is_uneven(&job.service, now) {
-            return false;
-        }
-        let fastest = self.paces.fastest(now);
-        let offer = Offer {
-            wait_ms: 0.0,
-            read_ms: 0.0,
-            event_ms: self.paces.event_ms(&job.service, 0.0).unwrap_or(0.0),
-            fill: 0.0,
-            pace: Estimate {
-                now: fastest,
-                lasting: fastest,
-                ..Estimate::USUAL
-            },
-            is_near: true,
-        };
-        let need = self.need(job, now);
-        let needed = offer.first_ms() + offer.output_ms(need.events);
-        need.deadline_ms
-            .is_some_and(|left| needed * HOPELESS_SHARE > left)
-    }
-
-    /// Expected pace of a replica.
-    fn pace(&self, job: &Job, replica: &str, now: Instant) -> Estimate {
-        match self.paces.is_uneven(&job.service, now) {
-            true => self.paces.estimate(replica, now),
-            false => Estimate::USUAL,
-        }
-    }
-
     fn assign(&mut self, number: JobNumber, candidate: &Candidate, now: Instant) {
         let replica = candidate.name.as_str();
         let Some(job) = self.remove(number) else {
