--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -217,6 +217,16 @@
         }
     }
 
+    /// Tells the placement the lasting paces of the replicas.
+    fn update_paces(&mut self, now: Instant) {
+        for upstream in &self.list.upstreams {
+            if self.scheduler.paces.is_uneven(&upstream.service, now) {
+                let pace = self.scheduler.paces.estimate(&upstream.name, now);
+                self.placement.set_pace(&upstream.name, pace.lasting);
+            }
+        }
+    }
+
     /// Records upstreams that leave, and tells all gateways of those that are new.
     fn record_departures(&mut self, upstreams: &[String], now: Instant) {
         let listed = &self.list.upstreams;
@@ -387,6 +397,7 @@
 
     pub(super) fn broadcast_update(&mut self, metrics: &Metrics, now: Instant) {
         let open = self.sum_open_requests(now);
+        self.update_paces(now);
         let interval = self.notice_interval();
         self.next_notice = now + interval;
         if now >= self.next_summary {
--- a/crates/tanagershift/src/gateway/placement/plan.rs
+++ b/crates/tanagershift/src/gateway/placement/plan.rs
@@ -261,7 +261,8 @@
             } else {
                 0.0
             };
-            work.unwrap_or(0.0) / slots + open + loading_penalty + queue_penalty - fast_load_bonus
+            let busy = work.unwrap_or(0.0) / slots + open;
+            busy * replica.pace + loading_penalty + queue_penalty - fast_load_bonus
         };
         let fits = |replica: &&Replica| {
             replica.is_usable()
--- a/crates/tanagershift/src/gateway/placement/replica.rs
+++ b/crates/tanagershift/src/gateway/placement/replica.rs
@@ -119,6 +119,8 @@
     pub unanswered_orders: u32,
     /// Requests that all gateways together have open at the replica.
     pub open_requests: u32,
+    /// How long work takes there, compared with the usual.
+    pub pace: f64,
     /// Running requests by adapter. Counts only requests that were scheduled by this leader.
     pub running_requests: BTreeMap<Adapter, u32>,
     /// Recently unloaded adapters, the latest at the back.
@@ -156,6 +158,7 @@
             pending: None,
             unanswered_orders: 0,
             open_requests: 0,
+            pace: 1.0,
             running_requests: BTreeMap::new(),
             recently_unloaded: VecDeque::new(),
             unloaded: HashSet::new(),
