gateway: who a caller is, in a module of its own

Change: identify, check_caller and current_caller move to identity.rs; notices take the time from their caller. No change of behaviour.

--- a/crates/tanagershift/src/gateway/exchange.rs
+++ b/crates/tanagershift/src/gateway/exchange.rs
@@ -13,10 +13,11 @@
 
 use super::{
     Gateway,
-    account::{Caller, Refusal},
+    account::Caller,
     configuration::Route,
     connection::{Connection, Error},
     dialect::{AddedHeaders, RequestHead, ResponseHead},
+    identity::current_caller,
     message::Upstream,
     progress::Progress,
     quarantine::Standing,
@@ -389,24 +390,6 @@
     !connection.is_detour() && job.route.may_repeat()
 }
 
-/// Who sent a request, by the configuration in force. A key may have been taken away, or given to another
-/// account, since the request came; a stream that runs goes on all the same.
-fn current_caller(
-    gateway: &Gateway,
-    job: &Job,
-    resume_after: Option<u64>,
-) -> Result<Caller, Refusal> {
-    let newest = gateway.view().configuration.clone();
-    match newest.filter(|_| resume_after.is_none()) {
-        // Credentials that named an account go to no upstream.
-        Some(newest) if newest.accounts.is_empty() => Ok(job.caller.clone()),
-        Some(newest) => newest
-            .accounts
-            .identify(job.head.key, job.route.allows_anonymous),
-        None => Ok(job.caller.clone()),
-    }
-}
-
 fn build_request(
     gateway: &Gateway,
     job: &Job,
--- a/crates/tanagershift/src/gateway/forward.rs
+++ b/crates/tanagershift/src/gateway/forward.rs
@@ -14,11 +14,11 @@
 
 use super::{
     Gateway,
-    account::{self, Caller},
     bodies::{read_body, read_upstream_body},
     callers::{self, Phase},
     configuration::{Configuration, Limits, Route, RouteKind},
     exchange::{FailedAttempt, Job, Resumption, UpstreamResponse, exchange},
+    identity::{check_caller, identify},
     quarantine::{
         CONVICTED_REASON, CONVICTED_RETRY_AFTER, SUSPECTED_REASON, Standing, request_digest,
         request_keys,
@@ -38,7 +38,7 @@
 pub const MIN_SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Time without a notice from the leader after which the configuration may lack a newly added route.
 /// It is well under the time within which the platform wants an accepted configuration in force.
-const ROUTES_STALE_AFTER: Duration = Duration::from_millis(1000);
+pub const ROUTES_STALE_AFTER: Duration = Duration::from_millis(1000);
 /// Longest time for which a request waits for a host that has just started to learn the configuration
 /// and the upstreams.
 pub const STARTUP_WAIT: Duration = Duration::from_millis(900);
@@ -269,40 +269,6 @@
     })
 }
 
-/// Finds out who a caller is.
-///
-/// # Errors
-///
-/// The caller needs an account and has none. If the configuration is not known to be the newest, the
-/// request may be sent again later.
-fn identify(
-    configuration: &Configuration,
-    route: &Route,
-    key: Option<account::Key>,
-    is_current: bool,
-) -> Result<Caller, Rejection> {
-    let caller = configuration.accounts.identify(key, route.allows_anonymous);
-    caller.map_err(|refusal| match (refusal, is_current) {
-        (account::Refusal::Unknown(_), false) => {
-            Rejection::retry_later(format!("{refusal}, and the configuration may be outdated"))
-        }
-        _ => Rejection::new(StatusCode::UNAUTHORIZED, refusal.to_string()),
-    })
-}
-
-/// Looks a caller up again, since the configuration may have changed while the request waited.
-///
-/// # Errors
-///
-/// As [`identify`].
-fn check_caller(gateway: &Gateway, job: &Job) -> Result<(), Rejection> {
-    let is_current = gateway.heard_leader_within(ROUTES_STALE_AFTER);
-    match gateway.view().configuration.clone() {
-        Some(newest) => identify(&newest, &job.route, job.head.key, is_current).map(drop),
-        None => Ok(()),
-    }
-}
-
 async fn serve(
     gateway: &Arc<Gateway>,
     job: Job,
--- a/crates/tanagershift/src/gateway/hub/mod.rs
+++ b/crates/tanagershift/src/gateway/hub/mod.rs
@@ -62,7 +62,7 @@
     dialect::{OrderOutcome, Report},
     fleet::{backlog::Backlog, counts::ToldCounts},
     limit::Limits,
-    message::{Ask, Key, List, Mark, Notice, RateReport, Residency, Tally, Upstream, Watch},
+    message::{Ask, Key, List, Mark, Notice, RateReport, Tally, Upstream, Watch},
     placement::{self, Action, Adapter, Placement},
     quarantine::Ledger,
     quota::ledger as quota_ledger,
@@ -535,10 +535,10 @@
         let changes = state.placement.take_changes();
         state.notify_waiting_gateways(&changes);
         for change in changes {
-            let Residency {
-                replica, adapter, ..
-            } = &change;
-            state.scheduler.forget_adapter(replica, adapter);
+            // What was kept for an adapter is of use to the version that read it only.
+            state
+                .scheduler
+                .forget_adapter(&change.replica, &change.adapter);
             state.residency_changes.add(change);
         }
         state.order_tick.end(began, Instant::now());
--- a/crates/tanagershift/src/gateway/hub/notices.rs
+++ b/crates/tanagershift/src/gateway/hub/notices.rs
@@ -417,19 +417,19 @@
                 summary
             );
         }
-        self.broadcast_changes(&open, interval);
+        self.broadcast_changes(&open, interval, now);
         self.end_rollout();
     }
 
     /// Sends changed counts and residencies to all gateways, as many as the time between two notices allows.
-    fn broadcast_changes(&mut self, open: &Counts, interval: Duration) {
+    fn broadcast_changes(&mut self, open: &Counts, interval: Duration, now: Instant) {
         let watchers = self.watchers.len().max(1) as f64;
         let bytes = UPDATE_BYTES_PER_SECOND * interval.as_secs_f64() / watchers;
         let bytes = (bytes / 2.0) as usize;
         let bytes = bytes.max(MIN_UPDATE_BYTES);
         let residencies = self.residency_changes.take(bytes);
         let changed = std::mem::take(&mut self.pace_changes);
-        let paces = self.scheduler.paces.reports(changed.iter(), Instant::now());
+        let paces = self.scheduler.paces.reports(changed.iter(), now);
         self.rollout.record_broadcast(&residencies);
         let (upstreams, replicas) = (&self.list.upstreams, self.placement.replicas());
         // Gateways select the upstreams of plain services by themselves.
@@ -441,7 +441,7 @@
         if rates_changed {
             self.told_rates.clone_from(&rates);
         }
-        let quota_part = self.quota_part(Instant::now());
+        let quota_part = self.quota_part(now);
         let notice = Notice {
             residencies,
             open_changes: Some(open_changes),
--- a/crates/tanagershift/src/gateway/mod.rs
+++ b/crates/tanagershift/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! `choose` (selection of an upstream), `exchange` (one attempt) and `relay` (response body). The
 //! other parts:
 //!
-//! * `configuration`: routes, services and limits in force; `account`: client accounts.
+//! * `configuration`: routes, services and limits in force; `account`: client accounts; `identity`: who a
+//!   caller is.
 //! * `scheduler`: assigns waiting requests to replicas on the leader; `ask` is the gateway's side.
 //! * `fleet`: what hosts and the leader tell each other when there are many.
 //! * `view`: what this gateway knows about upstreams and adapters; `background` keeps it up to date.
@@ -71,6 +72,7 @@
 pub mod forward;
 pub mod helpers;
 pub mod hub;
+pub mod identity;
 pub mod job;
 pub mod limit;
 #[cfg(test)]
