review: case 7, an unreadable entry hides that a replica leaves

Shows that one entry of another writer with bytes that are no text makes the whole page of the platform's list unreadable: a replica that is listed as draining goes on getting requests later than drainMs, and unsafe requests are cut off when it ends.

--- /dev/null
+++ b/review/common-2/cases.rs
@@ -0,0 +1,24 @@
+//! The cases.
+
+use std::sync::Arc;
+
+use crate::{Fault, Site, Verdict};
+
+#[path = "limit_zero.rs"]
+mod limit_zero;
+#[path = "replica.rs"]
+pub mod replica;
+#[path = "starved.rs"]
+mod starved;
+#[path = "unreadable_entry.rs"]
+mod unreadable_entry;
+
+pub fn run(name: &str, site: &Arc<Site>) -> Fault<Verdict> {
+    match name {
+        "unreadable-entry" => unreadable_entry::run(site),
+        "limit-zero" => limit_zero::run(site, "Server-Limit: 0\r\n"),
+        "brittle-zero" => limit_zero::run(site, "Server-Brittle: 0\r\n"),
+        "starved" => starved::run(site),
+        _ => Err(format!("no case {name}")),
+    }
+}
