--- a/review/common-2/starved.rs
+++ b/review/common-2/starved.rs
@@ -1,5 +1,5 @@
-//! One replica of a plain service crashes once and is back after some seconds. Its answers have neither a
-//! length nor chunks. Clients go on to ask for the same resource.
+//! One model replica crashes once and is back after some seconds. Its streams are short and have neither a
+//! length nor chunks. All streams share the first part of their prompts. A plain service is well all the while.
 
 use std::{
     sync::{
@@ -10,13 +10,22 @@
     time::{Duration, Instant},
 };
 
-use super::replica::{Arrival, Arrivals, Desk, Style};
-use crate::{call, Answer, Fault, Site, Verdict, CONTACT, HOSTS, PORT_FRONT};
+use super::{
+    engine::{self, Engine},
+    replica::{self, Arrivals, Desk},
+};
+use crate::{call, Fault, Site, Verdict, CONTACT, HOSTS, PORT_FRONT};
 
-const STYLE: Style = Style {
-    service: "desk",
-    run_time: Duration::from_millis(300),
+const ENGINE: engine::Style = engine::Style {
+    born: 1_790_000_000_000,
+    model: Some("base"),
     has_no_length: true,
+    repeats_late: 0.0,
+};
+const DESK: replica::Style = replica::Style {
+    service: "desk",
+    run_time: Duration::from_millis(20),
+    has_no_length: false,
     born: 1_790_000_000_000,
 };
 /// Time for which the replica that crashed is down.
@@ -25,58 +34,68 @@
 const RECOVER: Duration = Duration::from_secs(12);
 /// Time for which requests are counted.
 const COUNTED: Duration = Duration::from_secs(40);
-/// Time limit of the clients.
-const PATIENCE: Duration = Duration::from_millis(2500);
-/// Clients of each kind of request, and the time between two requests of one of them.
-const CLIENTS: u64 = 3;
-const INTERVAL: Duration = Duration::from_millis(250);
+/// Time limits of the clients.
+const STREAM_PATIENCE: Duration = Duration::from_secs(10);
+const BOOK_PATIENCE: Duration = Duration::from_millis(2500);
+const STREAM_CLIENTS: u64 = 9;
+const BOOK_CLIENTS: u64 = 3;
+const INTERVAL: Duration = Duration::from_millis(300);
 
-const MANIFEST: &str = r#"{"version":1,"routes":[{"name":"lookup","host":"desk.example","pathPrefix":"/lookup/","kind":"safe","timeoutMs":2500,"targetLatencyMs":1000,"priority":2,"service":"desk","maxAttempts":2},{"name":"book","host":"desk.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":2500,"targetLatencyMs":1000,"priority":2,"service":"desk","maxAttempts":1}],"services":[{"name":"desk","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
+const MANIFEST: &str = r#"{"version":1,"routes":[{"name":"plans","host":"small.example","pathPrefix":"/plans/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":1000,"priority":0,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,"gapAimMs":300},{"name":"book","host":"small.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":2500,"targetLatencyMs":1000,"priority":2,"service":"desk","maxAttempts":1}],"services":[{"name":"desk","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false},{"name":"llm","healthPath":"/health","maxConns":390,"protocol":"h1","tls":false,"engine":{"slots":64,"kvTokens":121105,"tokenKvBytes":327680,"linkMbps":740000.0,"moves":true,"backups":true,"stride":3,"maxCount":12,"hostMb":130000.0,"diskMb":390000.0,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{"name":"base","weightsMb":34300.0,"loadS":2.0,"adapters":3000,"adapterMb":40.0,"warmS":0.78,"diskS":1.0}],"weightsMb":36000.0,"adapterSlots":18,"loadsPerS":4.8}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 /// A request as its client has seen it, with the client's repetition.
 struct Outcome {
     at: Instant,
-    is_lookup: bool,
+    is_stream: bool,
     is_served: bool,
 }
 
-fn attempt(site: &Site, host: u8, is_lookup: bool, time_left: Duration) -> Option<Answer> {
+/// Sends a request; says whether the whole answer came, and when to come again if the answer says so.
+fn attempt(site: &Site, number: u64, is_stream: bool, left: Duration) -> (bool, Option<Duration>) {
     let id = site.request_id();
-    let (line, body) = match is_lookup {
-        true => ("GET /lookup/roster HTTP/1.1", String::new()),
-        false => ("POST /book/lesson HTTP/1.1", format!("lesson {id}")),
+    let host = (number % u64::from(HOSTS)) as u8 + 1;
+    let model = format!("base/a{}", 1 + number % 6);
+    let (head, last) = match is_stream {
+        true => (
+            format!(
+                "POST /plans/week HTTP/1.1\r\nTanagershift-Model: {model}\r\n\
+                 Tanagershift-Token-Usage: 600,24\r\n\
+                 Tanagershift-Prompt-Prefix: 5c1e07a2:155,{number:08x}:445\r\n"
+            ),
+            format!("{model} 6"),
+        ),
+        false => ("POST /book/lesson HTTP/1.1\r\n".to_owned(), format!("done {id}")),
     };
+    let body = format!("lesson {id}");
     let request = format!(
-        "{line}\r\nHost: desk.example\r\nTanagershift-Request-Id: {id}\r\n\
+        "{head}Host: small.example\r\nTanagershift-Request-Id: {id}\r\n\
          Tanagershift-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        time_left.as_millis(),
+        left.as_millis(),
         body.len()
     );
-    let address = site.address(host, PORT_FRONT);
-    let answer = call(address, request.as_bytes(), time_left).ok();
+    let answer = call(site.address(host, PORT_FRONT), request.as_bytes(), left).ok();
     let told = answer.as_ref().map_or("nothing".to_owned(), |one| one.status.to_string());
-    site.record.add(format!("{} {id} at host {host}: {told}", if is_lookup { "lookup" } else { "book" }));
-    answer.filter(|one| one.status != 200 || one.body == format!("done {id}").into_bytes())
+    let kind = if is_stream { "stream" } else { "book" };
+    site.record.add(format!("{kind} {id} at host {host}: {told}"));
+    let is_whole = answer.as_ref().is_some_and(|one| {
+        one.status == 200 && String::from_utf8_lossy(&one.body).contains(&last)
+    });
+    let after = answer.as_ref().and_then(|one| one.headers.get("retry-after")?.parse().ok());
+    (is_whole, after.map(Duration::from_secs_f64))
 }
 
-/// One request, sent once more as the pages say: after a refusal, if `Retry-After` is no more than a third of
-/// the time that is left.
-fn ask(site: &Site, number: u64, is_lookup: bool) -> bool {
-    let until = Instant::now() + PATIENCE;
+/// One request, sent once more as the pages say, if `Retry-After` is no more than a third of the time left.
+fn ask(site: &Site, number: u64, is_stream: bool) -> bool {
+    let patience = if is_stream { STREAM_PATIENCE } else { BOOK_PATIENCE };
+    let until = Instant::now() + patience;
     for step in 0..2 {
-        let host = ((number + step) % u64::from(HOSTS)) as u8 + 1;
         let left = until.saturating_duration_since(Instant::now());
-        let answer = attempt(site, host, is_lookup, left);
-        match &answer {
-            Some(answer) if answer.status == 200 => return true,
-            Some(answer) if answer.status != 503 && !is_lookup => return false,
-            None if !is_lookup => return false,
-            _ => {}
+        let (is_served, after) = attempt(site, number + step, is_stream, left);
+        if is_served || !is_stream {
+            return is_served;
         }
-        let after = answer.as_ref().and_then(|one| one.headers.get("retry-after"));
-        let after = after.and_then(|text| text.parse().ok()).map_or(Duration::ZERO, Duration::from_secs_f64);
-        let left = until.saturating_duration_since(Instant::now());
-        if after > left / 3 {
+        let after = after.unwrap_or_default();
+        if after > until.saturating_duration_since(Instant::now()) / 3 {
             return false;
         }
         thread::sleep(after);
@@ -86,19 +105,21 @@
 
 fn share(outcomes: &[Outcome], from: Instant, until: Instant, kind: Option<bool>) -> (usize, usize) {
     let counted = outcomes.iter().filter(|one| one.at >= from && one.at < until);
-    let counted = counted.filter(|one| kind.is_none_or(|kind| one.is_lookup == kind));
+    let counted = counted.filter(|one| kind.is_none_or(|kind| one.is_stream == kind));
     let all: Vec<bool> = counted.map(|one| one.is_served).collect();
     (all.iter().filter(|served| **served).count(), all.len())
 }
 
 pub fn run(site: &Arc<Site>) -> Fault<Verdict> {
-    let arrivals = Arrivals::default();
-    let desks: Fault<Vec<Desk>> = (0..3)
-        .map(|one| Desk::start(site, 10 + one, &format!("i-{one}"), STYLE, &arrivals))
-        .collect();
-    let desks = desks?;
-    let mut entries: Vec<Vec<u8>> = desks.iter().map(|one| one.entry(site, "ready")).collect();
-    site.set_list(&entries);
+    let engines: Fault<Vec<Engine>> =
+        (0..3).map(|one| Engine::start(site, 10 + one, &format!("i-{one}"), ENGINE)).collect();
+    let mut engines = engines?;
+    let desk = Desk::start(site, 20, "d-0", DESK, &Arrivals::default())?;
+    let entries = |engines: &[Engine]| -> Vec<Vec<u8>> {
+        let engines = engines.iter().map(|one| one.entry(site, "llm"));
+        engines.chain([desk.entry(site, "ready")]).collect()
+    };
+    site.set_list(&entries(&engines));
     let _list = site.serve_list()?;
     for host in 1..=HOSTS {
         site.start_host(host, true)?;
@@ -110,41 +131,41 @@
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
-    for client in 0..2 * CLIENTS {
+    for client in 0..STREAM_CLIENTS + BOOK_CLIENTS {
         let (site, outcomes, stop) = (site.clone(), outcomes.clone(), stop.clone());
         clients.push(thread::spawn(move || {
-            let is_lookup = client % 2 == 0;
-            thread::sleep(INTERVAL * client as u32 / (2 * CLIENTS) as u32);
+            let is_stream = client < STREAM_CLIENTS;
+            thread::sleep(INTERVAL * client as u32 / (STREAM_CLIENTS + BOOK_CLIENTS) as u32);
             let mut number = client;
             while !stop.load(Ordering::SeqCst) {
                 let at = Instant::now();
-                let is_served = ask(&site, number, is_lookup);
-                outcomes.lock().unwrap().push(Outcome { at, is_lookup, is_served });
-                number += 1;
+                let is_served = ask(&site, number, is_stream);
+                outcomes.lock().unwrap().push(Outcome { at, is_stream, is_served });
+                number += STREAM_CLIENTS;
                 thread::sleep(INTERVAL.saturating_sub(at.elapsed()));
             }
         }));
     }
+    // The first requests wait for their adapters.
+    thread::sleep(Duration::from_secs(3));
     let calm_from = Instant::now();
     thread::sleep(Duration::from_secs(6));
     let calm_until = Instant::now();
-    let mut back = None;
     if site.trouble {
-        let is_running = |one: &Arrival| {
-            one.replica == "i-0" && one.path.starts_with("/lookup/") && one.at.elapsed() < STYLE.run_time / 3
+        let at = loop {
+            match engines.iter().position(Engine::has_just_begun) {
+                Some(at) => break at,
+                None => thread::sleep(Duration::from_millis(2)),
+            }
         };
-        while !arrivals.lock().unwrap().iter().any(is_running) {
-            thread::sleep(Duration::from_millis(5));
-        }
-        site.record.add("i-0 crashes while a lookup runs there");
-        desks[0].server.stop();
+        site.record.add(format!("{} crashes while a stream begins there", engines[at].id));
+        engines[at].server.stop();
         thread::sleep(DOWN);
-        let style = Style { born: STYLE.born + 60_000, ..STYLE };
-        let again = Desk::start(site, 10, "i-0b", style, &arrivals)?;
-        entries[0] = again.entry(site, "ready");
-        site.set_list(&entries);
-        site.record.add("it is back, as i-0b");
-        back = Some(again);
+        let style = engine::Style { born: ENGINE.born + 60_000, ..ENGINE };
+        let id = format!("i-{at}b");
+        engines[at] = Engine::start(site, 10 + at as u8, &id, style)?;
+        site.set_list(&entries(&engines));
+        site.record.add(format!("it is back, as {id}"));
     } else {
         thread::sleep(DOWN);
     }
@@ -156,30 +177,29 @@
     for client in clients {
         let _ = client.join();
     }
-    drop(back);
     let outcomes = outcomes.lock().unwrap();
     let calm = share(&outcomes, calm_from, calm_until, None);
-    let lookups = share(&outcomes, counted_from, counted_until, Some(true));
+    let streams = share(&outcomes, counted_from, counted_until, Some(true));
     let all = share(&outcomes, counted_from, counted_until, None);
     for host in 1..=HOSTS {
         let log = site.host_log(host);
-        for line in log.lines().filter(|line| line.contains("key=") && line.contains("TS")).take(3) {
+        for line in log.lines().filter(|line| line.contains("part=5c1e07a2")).take(3) {
             site.record.add(format!("log of host {host}: {line}"));
         }
     }
     site.record.add(format!(
-        "served in calm {}/{}; later than recoverS after the replica was back: lookups {}/{}, all requests {}/{}",
-        calm.0, calm.1, lookups.0, lookups.1, all.0, all.1
+        "served in calm {}/{}; later than recoverS after the replica was back: streams {}/{}, all requests {}/{}",
+        calm.0, calm.1, streams.0, streams.1, all.0, all.1
     ));
     let ratio = |(served, of): (usize, usize)| served as f64 / of.max(1) as f64;
     if ratio(calm) < 0.95 || all.1 == 0 {
         return Err("the requests were not served in calm".to_owned());
     }
-    if ratio(lookups) < ratio(all) / 4.0 {
+    if ratio(streams) < ratio(all) / 4.0 {
         return Ok(Verdict::Broken(format!(
-            "Starved: {} of {} lookups served for {} s, {} of {} requests in all",
-            lookups.0,
-            lookups.1,
+            "Starved: {} of {} streams served for {} s, {} of {} requests in all",
+            streams.0,
+            streams.1,
             COUNTED.as_secs(),
             all.0,
             all.1
