review: case 6, the next run of a replica confirms half an answer

Shows that a host that was frozen takes the end of a connection for the end of an answer without a length, although the replica crashed in the middle of it: the replica's next run under the same id answers the check. Clients of unsafe requests get 200 with half of the body.

--- a/review/common-2/cases.rs
+++ b/review/common-2/cases.rs
@@ -8,6 +8,8 @@
 pub mod engine;
 #[path = "foreign.rs"]
 mod foreign;
+#[path = "late_end.rs"]
+mod late_end;
 #[path = "limit_zero.rs"]
 mod limit_zero;
 #[path = "lost_model.rs"]
@@ -25,6 +27,7 @@
         "foreign" => foreign::run(site),
         "limit-zero" => limit_zero::run(site, "Server-Limit: 0\r\n"),
         "brittle-zero" => limit_zero::run(site, "Server-Brittle: 0\r\n"),
+        "late-end" => late_end::run(site),
         "lost-model" => lost_model::run(site),
         "starved" => starved::run(site),
         _ => Err(format!("no case {name}")),
